--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -1,7 +1,6 @@
 //! Reads batches of events from standard input, one JSON value a line, and answers each with one line of actions.
 //! No decision is made here: wire values become the types of `hillfront` and back.
 
-mod facts;
 mod wire;
 
 use std::io::{self, BufRead, Write};
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
+use cranetack_facts::Facts;
 use hillfront::{
     Action, Ask, CellId, ClassId, Event, HostId, KindId, ListForm, Load, Member, Outcome, Policy, PrefixId,
     Readiness, RequestId, SessionId, ZoneId,
@@ -10,8 +11,6 @@
 use serde::Deserialize;
 use serde_json::{json, Value};
 
-use crate::facts::Facts;
-
 #[derive(Deserialize)]
 struct Batch {
     at_time_us: i64,
--- a/adapter/src/facts.rs
+++ b/facts/src/lib.rs
@@ -1,38 +1,54 @@
-//! The settings as they come on the wire.
+//! The settings object that a dispatcher is given: the same on the simulator's wire and in a router's
+//! configuration file.
+
+use std::time::Duration;
 
 use hillfront::{Class, Effect, KeyScope, Kind, Reporting, Settings, Stage, ZoneId};
 use serde::Deserialize;
 
-#[derive(Deserialize)]
+/// The settings of one dispatcher.
+#[derive(Deserialize, Clone)]
 pub struct Facts {
     balancers: Option<u32>,
     me: Option<u32>,
     az: Option<String>,
     period_us: Option<f64>,
     membership_mode: Option<String>,
+    /// The request classes.
     pub classes: Vec<ClassFacts>,
+    /// The names of the kinds of server.
     pub kinds: Vec<String>,
+    /// The names of the zones.
     pub zones: Vec<String>,
+    /// The tenants; a site may have none.
     #[serde(default)]
     pub tenants: Vec<Named>,
+    /// What the site permits.
     #[serde(default)]
-    allowed: Allowed,
+    pub allowed: Allowed,
     #[serde(default)]
     domain: Domain,
     #[serde(default)]
     rules: Rules,
+    /// The load reports.
     #[serde(default)]
     pub report: Report,
 }
 
-#[derive(Deserialize)]
+/// Something of which only the name is used here.
+#[derive(Deserialize, Clone)]
 pub struct Named {
+    /// Its name.
     pub name: String,
 }
 
-#[derive(Deserialize)]
+/// A request class.
+#[derive(Deserialize, Clone)]
 pub struct ClassFacts {
+    /// Its name.
     pub name: String,
+    /// How long its client waits, over all its tries.
+    pub deadline_us: Option<f64>,
     goal_time_us: Option<f64>,
     idempotency: Option<String>,
     key_scope: Option<String>,
@@ -40,8 +56,9 @@
     points: Option<f64>,
 }
 
-#[derive(Deserialize, Default)]
-struct Allowed {
+/// What the site permits, and its limits on connections.
+#[derive(Deserialize, Default, Clone)]
+pub struct Allowed {
     #[serde(default)]
     cancelling: bool,
     #[serde(default)]
@@ -54,9 +71,11 @@
     retry_after: bool,
     max_attempts: Option<u32>,
     max_retry_after_us: Option<f64>,
+    connect_timeout_us: Option<f64>,
+    idle_close_us: Option<f64>,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Deserialize, Default, Clone)]
 struct Domain {
     #[serde(default)]
     ahead: bool,
@@ -73,7 +92,7 @@
     report_x1: Option<String>,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Deserialize, Default, Clone)]
 struct Rules {
     answer_slack_us: Option<f64>,
     ask_within_us: Option<f64>,
@@ -83,15 +102,31 @@
     warm_up_us: Option<f64>,
 }
 
-#[derive(Deserialize, Default)]
+/// How servers report their load.
+#[derive(Deserialize, Default, Clone)]
 pub struct Report {
-    how: Option<String>,
+    /// `piggyback`, `pull` or `silent`.
+    pub how: Option<String>,
+    /// The column that carries the share of memory held.
     #[serde(skip)]
     pub memory_column: Option<String>,
+    /// The column that carries the thousands of prompt tokens that wait.
     #[serde(skip)]
     pub pending_column: Option<String>,
 }
 
+impl Allowed {
+    /// How long a connection may take to come up.
+    pub fn connect_timeout(&self) -> Option<Duration> {
+        span(self.connect_timeout_us)
+    }
+
+    /// After how long a server closes an idle connection.
+    pub fn idle_close(&self) -> Option<Duration> {
+        span(self.idle_close_us)
+    }
+}
+
 impl Facts {
     /// Notes which report columns carry memory and waiting tokens, by the meaning that the settings give.
     pub fn name_columns(&mut self) {
@@ -105,6 +140,7 @@
         self.report.pending_column = pending;
     }
 
+    /// The settings in the decision module's own types.
     pub fn settings(&self) -> Result<Settings, String> {
         let classes = self.classes.iter().enumerate().map(|(i, c)| self.class(i, c));
         let kinds = (0..self.kinds.len()).map(|i| self.kind(i));
@@ -187,3 +223,7 @@
 fn micros(value: Option<f64>) -> Option<i64> {
     value.filter(|v| v.is_finite()).map(|v| v as i64)
 }
+
+fn span(value: Option<f64>) -> Option<Duration> {
+    micros(value).and_then(|us| u64::try_from(us).ok()).map(Duration::from_micros)
+}
--- /dev/null
+++ b/router/src/config.rs
@@ -0,0 +1,143 @@
+//! What a router is told at its start: the configuration file, and the environment beside it.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use cranetack_facts::Facts;
+use hillfront::Settings;
+use serde::Deserialize;
+
+use crate::discovery::List;
+
+/// Why a configuration cannot be used: one line that names the key.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// The file cannot be read.
+    #[error("{path}: {source}")]
+    Unreadable {
+        /// Its path.
+        path: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A key is missing, of the wrong type or out of range.
+    #[error("{path}: {message}")]
+    Wrong {
+        /// The file's path.
+        path: String,
+        /// The key and what is wrong with it.
+        message: String,
+    },
+}
+
+/// What one router may use.
+#[derive(Debug, Clone, Copy, Deserialize)]
+pub struct Limits {
+    /// File descriptors that it may hold.
+    #[serde(default = "default_sockets")]
+    pub sockets: usize,
+}
+
+fn default_sockets() -> usize {
+    1_024
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: default_sockets() }
+    }
+}
+
+/// The file, as it is written.
+#[derive(Deserialize)]
+struct File {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
+    peers_all: Option<SocketAddr>,
+    known: Option<List>,
+    settings: Facts,
+}
+
+/// Addresses for messages between routers.
+#[derive(Debug, Clone)]
+pub struct Peering {
+    /// Where messages arrive.
+    pub listen: SocketAddr,
+    /// One address for each router of the tier, by its number.
+    pub peers: Vec<SocketAddr>,
+    /// The address that reaches all of them.
+    pub all: Option<SocketAddr>,
+}
+
+/// All that a router is told.
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// What it may use.
+    pub limits: Limits,
+    /// Messages between routers, where there are any.
+    pub peering: Option<Peering>,
+    /// The last list of workers that it held.
+    pub known: Option<List>,
+    /// The settings by name.
+    pub facts: Facts,
+    /// The settings in the module's types.
+    pub settings: Settings,
+}
+
+impl Config {
+    /// Reads a configuration file.
+    pub fn load(path: &Path) -> Result<Config, ConfigError> {
+        let shown = path.display().to_string();
+        match std::fs::read(path) {
+            Ok(bytes) => Config::parse(&bytes).map_err(|message| ConfigError::Wrong { path: shown, message }),
+            Err(source) => Err(ConfigError::Unreadable { path: shown, source }),
+        }
+    }
+
+    /// Reads a configuration from its text. The message names the key that is wrong.
+    pub fn parse(bytes: &[u8]) -> Result<Config, String> {
+        let json = &mut serde_json::Deserializer::from_slice(bytes);
+        let file: File =
+            serde_path_to_error::deserialize(json).map_err(|e| format!("{}: {}", e.path(), e.inner()))?;
+        let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: not hexadecimal: {e}"))?;
+        if file.limits.sockets < 64 {
+            return Err(format!(
+                "limits.sockets: {} is too few, at least 64 are needed",
+                file.limits.sockets
+            ));
+        }
+        let mut facts = file.settings;
+        facts.name_columns();
+        // Discovery is always watched here, so the module never has to ask for the list.
+        let settings = Settings {
+            membership_asked: false,
+            ..facts.settings().map_err(|message| format!("settings: {message}"))?
+        };
+        let peering = file.peer_listen.filter(|_| settings.peers);
+        Ok(Config {
+            name: file.name,
+            listen: file.listen,
+            discovery: file.discovery,
+            seed,
+            limits: file.limits,
+            peering: peering.map(|listen| Peering { listen, peers: file.peers, all: file.peers_all }),
+            known: file.known,
+            facts,
+            settings,
+        })
+    }
+}
--- /dev/null
+++ b/router/src/core.rs
@@ -0,0 +1,664 @@
+//! The core: it owns the decision module, the clock, the timers and the table of requests and attempts. Typed
+//! happenings become the module's events, and its actions are carried out through [`Outbound`]. It knows no
+//! wire. It is the one place that ends a request.
+
+use std::cell::Cell;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use hillfront::{
+    Action, Ask, CellId, ClassId, Event, HostId, KindId, ListForm, Load, Member, Micros, Outcome, Policy,
+    PrefixId, Readiness, RequestId, SessionId, Settings, ZoneId,
+};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::exchange::{self, Answer, Caller, Carrier, Message, Parts};
+
+/// The clock: microseconds of Unix time, read once from the system and then advanced monotonically, so that
+/// start times in the list can be compared and a step of the system's clock moves no deadline.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: Micros,
+}
+
+impl Clock {
+    /// A clock that starts from the system's time.
+    pub fn system() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix: micros(unix) }
+    }
+
+    /// Now.
+    pub fn now(&self) -> Micros {
+        self.unix.saturating_add(micros(self.start.elapsed()))
+    }
+
+    /// The instant of a point in time; one that has passed is now.
+    pub fn instant(&self, at: Micros) -> Instant {
+        Instant::now() + Duration::from_micros(u64::try_from(at.saturating_sub(self.now())).unwrap_or(0))
+    }
+}
+
+fn micros(span: Duration) -> Micros {
+    Micros::try_from(span.as_micros()).unwrap_or(Micros::MAX)
+}
+
+/// A number for a word that is the same at every router: FNV-1a.
+fn stable(word: &str) -> u64 {
+    word.bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
+/// A server as the list has it now. Shared with the upstream, which must look at the moment of writing.
+#[derive(Debug)]
+pub struct Host {
+    /// Its number.
+    pub id: HostId,
+    /// Its name, the same at every router.
+    pub name: String,
+    address: Cell<SocketAddr>,
+    open: Cell<bool>,
+}
+
+impl Host {
+    /// A server that takes work.
+    pub fn new(name: &str, address: SocketAddr) -> Host {
+        Host {
+            id: HostId(stable(name)),
+            name: name.to_owned(),
+            address: Cell::new(address),
+            open: Cell::new(true),
+        }
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address.get()
+    }
+
+    /// Whether new work may be written to it: the list says that it is up.
+    pub fn is_open(&self) -> bool {
+        self.open.get()
+    }
+}
+
+/// A line of the list of servers.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Listed {
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Its kind.
+    pub kind: KindId,
+    /// Its cell.
+    pub cell: CellId,
+    /// Whether it takes work.
+    pub readiness: Readiness,
+    /// Its size beside others of its stage.
+    pub weight: f64,
+    /// When it last started; absent for long ago.
+    pub last_start: Option<Micros>,
+}
+
+/// A request as a front has decoded it.
+#[derive(Debug, Clone)]
+pub struct Asked {
+    /// Its id on the wire.
+    pub name: Rc<str>,
+    /// Its class.
+    pub class: ClassId,
+    /// Its session.
+    pub session: Option<String>,
+    /// The opening that it shares with other sessions.
+    pub prefix: Option<String>,
+    /// How long the client waits for the first part of the answer.
+    pub patience: Duration,
+    /// Rough length of the answer as time.
+    pub hint: Option<Duration>,
+    /// Tokens in the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens of these that belong to the shared opening.
+    pub shared_tokens: u64,
+    /// Most tokens of the answer.
+    pub max_tokens: u64,
+    /// The client is trying again.
+    pub retry: bool,
+    /// The client asks for the rest of a broken stream.
+    pub came_back: bool,
+    /// What servers are sent.
+    pub message: Rc<Message>,
+}
+
+/// What came of a request for a place at a writer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    /// It is held.
+    Held,
+    /// It is not held.
+    Refused,
+    /// The writer may hold it, but did not say.
+    Unsure,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Ended {
+    /// How.
+    pub outcome: Outcome,
+    /// Prompt tokens found kept, or 1 where no state was there to fetch.
+    pub info: u64,
+    /// The server's report, if one came along.
+    pub load: Option<Load>,
+}
+
+impl From<Outcome> for Ended {
+    fn from(outcome: Outcome) -> Ended {
+        Ended { outcome, info: 0, load: None }
+    }
+}
+
+/// An attempt at a server: the request's number, and the attempt's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct AttemptId {
+    /// The request.
+    pub request: RequestId,
+    /// The attempt, from 0.
+    pub number: u32,
+}
+
+/// What the core is told.
+pub enum Happening {
+    /// A request came in.
+    Asked(RequestId, Asked, Carrier),
+    /// Its client has gone, or has been answered in full.
+    Gone(RequestId),
+    /// The first part of an attempt's answer is here.
+    Established {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The media type of the answer.
+        media_type: String,
+        /// The answer.
+        parts: Parts,
+    },
+    /// An attempt has ended, and its connection no longer carries it.
+    Ended(AttemptId, Ended),
+    /// A request for a place was answered, or may have been heard.
+    Placed {
+        /// The request.
+        request: RequestId,
+        /// Its id on the wire.
+        name: Rc<str>,
+        /// The writer.
+        host: HostId,
+        /// What came of it.
+        place: Place,
+    },
+    /// A probe has ended.
+    Probed {
+        /// The server.
+        host: HostId,
+        /// How.
+        outcome: Outcome,
+        /// How long it took.
+        spent: Duration,
+        /// The server's report.
+        load: Option<Load>,
+    },
+    /// News of the list of servers.
+    Members(ListForm, Vec<Listed>),
+    /// Another router's message.
+    Peer(u32, Vec<u8>),
+}
+
+/// An attempt to be made.
+#[derive(Clone)]
+pub struct Order {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The request's id on the wire.
+    pub name: Rc<str>,
+    /// The server.
+    pub host: Rc<Host>,
+    /// When to give it up, unless its answer has begun.
+    pub expire: Instant,
+    /// What to send.
+    pub message: Rc<Message>,
+}
+
+/// What the core has done outside. None of these may wait: they start work and report as happenings.
+pub trait Outbound {
+    /// Makes an attempt.
+    fn send(&mut self, order: Order);
+    /// Withdraws an attempt; one that streams only if `streaming`, which breaks its answer off.
+    fn withdraw(&mut self, attempt: AttemptId, streaming: bool);
+    /// Asks a writer for a place, once the reading request is out.
+    fn place(&mut self, reading: AttemptId, name: Rc<str>, writer: Rc<Host>);
+    /// Lets go of all that is held for a request, through the first of these servers that can be reached.
+    fn release(&mut self, request: RequestId, name: Rc<str>, hosts: Vec<Rc<Host>>);
+    /// Probes a server.
+    fn probe(&mut self, host: Rc<Host>);
+    /// Closes idle connections to a server.
+    fn close_idle(&mut self, host: HostId);
+    /// Sends a message to one router or to all.
+    fn publish(&mut self, to: Option<u32>, bytes: Vec<u8>);
+}
+
+struct Request {
+    asked: Asked,
+    valid_until: Micros,
+    /// Present until the final answer.
+    carrier: Option<Carrier>,
+    attempts: u32,
+    out: Option<Out>,
+    /// Where it was last sent.
+    last: Option<Rc<Host>>,
+    /// The module has let go of what was held, and nothing has been sent since.
+    released: bool,
+    over: bool,
+}
+
+struct Out {
+    number: u32,
+    sent: Micros,
+    host: HostId,
+    streaming: bool,
+}
+
+/// The module and its tables. It takes one happening at a time and does not wait.
+pub struct Core<O> {
+    settings: Settings,
+    seed: u64,
+    policy: Policy,
+    clock: Clock,
+    outbound: O,
+    hosts: HashMap<HostId, Rc<Host>>,
+    members: HashMap<HostId, Member>,
+    requests: HashMap<RequestId, Request>,
+    timers: BinaryHeap<Reverse<(Micros, u64)>>,
+    /// Events that carrying out an action gave at once.
+    due: VecDeque<Event>,
+    turn: usize,
+}
+
+/// Through which the other parts tell the core what has happened. Cheap to clone.
+#[derive(Clone)]
+pub struct Handle {
+    happenings: mpsc::UnboundedSender<Happening>,
+    next: Rc<Cell<u32>>,
+}
+
+impl Handle {
+    /// A handle, and where its happenings come out.
+    pub fn new() -> (Handle, mpsc::UnboundedReceiver<Happening>) {
+        let (happenings, rx) = mpsc::unbounded_channel();
+        (Handle { happenings, next: Rc::new(Cell::new(0)) }, rx)
+    }
+
+    /// Tells the core. Once it has stopped, nothing needs telling.
+    pub fn tell(&self, happening: Happening) {
+        let _ = self.happenings.send(happening);
+    }
+
+    /// Hands a request in.
+    pub fn ask(&self, asked: Asked) -> Caller {
+        let id = RequestId(self.next.get());
+        self.next.set(id.0.wrapping_add(1));
+        let handle = self.clone();
+        let (caller, carrier) = exchange::open(move || handle.tell(Happening::Gone(id)));
+        self.tell(Happening::Asked(id, asked, carrier));
+        caller
+    }
+}
+
+impl<O: Outbound> Core<O> {
+    /// A core that knows no servers yet.
+    pub fn new(settings: Settings, seed: u64, clock: Clock, outbound: O) -> Core<O> {
+        Core {
+            policy: Policy::new(settings.clone(), seed, clock.now()),
+            settings,
+            seed,
+            clock,
+            outbound,
+            hosts: HashMap::new(),
+            members: HashMap::new(),
+            requests: HashMap::new(),
+            timers: BinaryHeap::new(),
+            due: VecDeque::new(),
+            turn: 0,
+        }
+    }
+
+    /// Runs until all handles are gone.
+    pub async fn run(mut self, mut happenings: mpsc::UnboundedReceiver<Happening>) {
+        // The module's first timer is among the actions of its first event.
+        self.decide(Event::Members { form: ListForm::Patch, members: Vec::new() });
+        loop {
+            let wake = self.timers.peek().map_or(i64::MAX, |Reverse((at, _))| *at);
+            let wake = self.clock.instant(wake.min(self.clock.now() + 1_000_000));
+            tokio::select! {
+                happening = happenings.recv() => match happening {
+                    Some(happening) => self.handle(happening),
+                    None => return,
+                },
+                () = tokio::time::sleep_until(wake) => self.fire(),
+            }
+        }
+    }
+
+    /// Delivers the timers that are due.
+    pub fn fire(&mut self) {
+        let now = self.clock.now();
+        while let Some(Reverse((at, key))) = self.timers.peek().copied() {
+            if at > now {
+                break;
+            }
+            self.timers.pop();
+            self.decide(Event::Timer(key));
+        }
+    }
+
+    /// Takes one happening.
+    pub fn handle(&mut self, happening: Happening) {
+        match happening {
+            Happening::Asked(id, asked, carrier) => self.asked(id, asked, carrier),
+            Happening::Gone(id) => self.gone(id),
+            Happening::Established { attempt, media_type, parts } => {
+                self.established(attempt, media_type, parts);
+            }
+            Happening::Ended(attempt, ended) => self.ended(attempt, ended),
+            Happening::Placed { request, name, host, place } => self.placed(request, name, host, place),
+            Happening::Probed { host, outcome, spent, load } => {
+                self.decide(Event::Probed { host, outcome, spent: micros(spent), load });
+            }
+            Happening::Members(form, listed) => self.members(form, listed),
+            Happening::Peer(from, bytes) => self.decide(Event::Peer { from, bytes }),
+        }
+    }
+
+    fn asked(&mut self, id: RequestId, asked: Asked, carrier: Carrier) {
+        let now = self.clock.now();
+        let valid_until = now.saturating_add(micros(asked.patience));
+        let ask = Ask {
+            id,
+            class: asked.class,
+            session: asked.session.as_deref().map(|s| SessionId(stable(s))),
+            prefix: asked.prefix.as_deref().map(|p| PrefixId(stable(p))),
+            valid_until,
+            hint: asked.hint.map(micros),
+            prompt_tokens: asked.prompt_tokens,
+            shared_tokens: asked.shared_tokens,
+            max_tokens: asked.max_tokens,
+            retry: asked.retry,
+            came_back: asked.came_back,
+        };
+        let request = Request {
+            asked,
+            valid_until,
+            carrier: Some(carrier),
+            attempts: 0,
+            out: None,
+            last: None,
+            released: false,
+            over: false,
+        };
+        self.requests.insert(id, request);
+        self.decide(Event::Ask(ask));
+    }
+
+    fn gone(&mut self, id: RequestId) {
+        if self.requests.get(&id).is_some_and(|r| !r.over) {
+            self.finish(id, None);
+            self.decide(Event::ClientGone(id));
+        }
+        self.forget(id);
+    }
+
+    fn established(&mut self, attempt: AttemptId, media_type: String, parts: Parts) {
+        let now = self.clock.now();
+        let id = attempt.request;
+        let Some(request) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
+        let Some(out) = request.out.as_mut().filter(|o| o.number == attempt.number) else { return };
+        out.streaming = true;
+        let (host, spent) = (out.host, now - out.sent);
+        if let Some(carrier) = request.carrier.take() {
+            carrier.answer(Answer::Served { media_type, parts });
+        }
+        self.decide(Event::Established { id, attempt: attempt.number, host, spent });
+    }
+
+    fn ended(&mut self, attempt: AttemptId, ended: Ended) {
+        let id = attempt.request;
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(out) = request.out.take_if(|o| o.number == attempt.number) else { return };
+        if out.streaming {
+            self.finish(id, None);
+        }
+        let no_more = self.requests.get(&id).is_none_or(|r| r.over);
+        let Ended { outcome, info, load } = ended;
+        let (host, spent) = (out.host, self.clock.now() - out.sent);
+        let number = attempt.number;
+        self.decide(Event::Result { id, attempt: number, host, outcome, info, no_more, spent, load });
+    }
+
+    /// A place that may be held for a request that no longer wants one is let go: the answer may have
+    /// crossed the module's own release.
+    fn placed(&mut self, id: RequestId, name: Rc<str>, host: HostId, place: Place) {
+        let request = self.requests.get(&id);
+        let wanted = request.is_some_and(|r| !r.over && !r.released && !r.streaming());
+        if !wanted && place != Place::Refused {
+            let hosts = self.reachable(self.hosts.get(&host).cloned());
+            self.outbound.release(id, name, hosts);
+        } else if wanted && place != Place::Unsure && request.is_some_and(|r| r.out.is_some()) {
+            self.decide(Event::Earmarked { id, host, held: place == Place::Held });
+        }
+    }
+
+    fn members(&mut self, form: ListForm, listed: Vec<Listed>) {
+        if matches!(form, ListForm::Whole | ListForm::Stale) {
+            self.hosts.values().for_each(|h| h.open.set(false));
+            self.members.clear();
+        }
+        let members: Vec<Member> = listed.iter().map(|line| self.member(line)).collect();
+        self.decide(Event::Members { form, members });
+    }
+
+    fn member(&mut self, line: &Listed) -> Member {
+        let id = HostId(stable(&line.name));
+        let host = self.hosts.entry(id).or_insert_with(|| Rc::new(Host::new(&line.name, line.address)));
+        host.address.set(line.address);
+        host.open.set(line.readiness == Readiness::Up);
+        let member = Member {
+            host: id,
+            last_start: line.last_start,
+            kind: line.kind,
+            readiness: line.readiness,
+            cell: line.cell,
+            weight: line.weight,
+            zone: line.zone,
+        };
+        self.members.insert(id, member);
+        member
+    }
+
+    /// Hands an event to the module and carries out what it says, and what that gives at once.
+    fn decide(&mut self, event: Event) {
+        self.due.push_back(event);
+        while let Some(event) = self.due.pop_front() {
+            let touched = request_of(&event);
+            let now = self.clock.now();
+            let mut actions = Vec::new();
+            let policy = AssertUnwindSafe(&mut self.policy);
+            let handled = catch_unwind(|| {
+                let policy = policy;
+                policy.0.handle(now, event, &mut actions);
+                actions
+            });
+            match handled {
+                Ok(actions) => actions.into_iter().for_each(|action| self.carry_out(action)),
+                Err(_) => self.start_over(),
+            }
+            if let Some(id) = touched {
+                self.forget(id);
+            }
+        }
+    }
+
+    /// A panic in the module must not lose the process: it begins anew with the list as it is, and what it
+    /// held is answered as failed, since it may have run.
+    fn start_over(&mut self) {
+        tracing::error!("the decision module failed and starts anew");
+        let now = self.clock.now();
+        self.policy = Policy::new(self.settings.clone(), self.seed ^ now as u64, now);
+        self.timers.clear();
+        self.due.clear();
+        let open: Vec<RequestId> = self.requests.keys().copied().collect();
+        for id in open {
+            if let Some(out) = self.requests.get(&id).and_then(|r| r.out.as_ref()).filter(|o| !o.streaming) {
+                self.outbound.withdraw(AttemptId { request: id, number: out.number }, false);
+            }
+            self.finish(id, Some(Answer::Failed));
+            self.release(id);
+            self.forget(id);
+        }
+        let members = self.members.values().copied().collect();
+        self.due.push_back(Event::Members { form: ListForm::Whole, members });
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Route { id, host, expire } => self.route(id, host, expire),
+            Action::Earmark { id, host } => self.earmark(id, host),
+            Action::FreeState(id) => self.release(id),
+            Action::Abort { id, attempt } => {
+                self.outbound.withdraw(AttemptId { request: id, number: attempt }, false);
+            }
+            Action::Shed { id, pause } => {
+                let pause = Duration::from_micros(u64::try_from(pause).unwrap_or(0));
+                self.finish(id, Some(Answer::Refused(pause)));
+            }
+            Action::Lose(id) => self.finish(id, Some(Answer::Failed)),
+            Action::Bounce(id) => {
+                let streaming = self.requests.get(&id).and_then(|r| r.out.as_ref()).filter(|o| o.streaming);
+                if let Some(out) = streaming {
+                    self.outbound.withdraw(AttemptId { request: id, number: out.number }, true);
+                }
+            }
+            Action::Sleep { at, key } => self.timers.push(Reverse((at, key))),
+            Action::Touch(host) => {
+                if let Some(host) = self.hosts.get(&host) {
+                    self.outbound.probe(host.clone());
+                }
+            }
+            Action::FreeLinks(host) => self.outbound.close_idle(host),
+            Action::Publish { to, bytes } => self.outbound.publish(to, bytes),
+            // The list is watched from the start to the end.
+            Action::Subscribe(_) | Action::Fetch => {}
+            Action::Log(line) => tracing::info!("{line}"),
+        }
+    }
+
+    fn route(&mut self, id: RequestId, host: HostId, expire: Micros) {
+        let now = self.clock.now();
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let number = request.attempts;
+        request.attempts += 1;
+        let most = self.settings.max_attempts.unwrap_or(u32::MAX);
+        let target = self
+            .hosts
+            .get(&host)
+            .filter(|_| !request.over && request.out.is_none() && number < most && now < request.valid_until);
+        let Some(target) = target else {
+            let (no_more, spent, load, info) = (request.over, 0, None, 0);
+            let outcome = Outcome::Nop;
+            self.due.push_back(Event::Result {
+                id,
+                attempt: number,
+                host,
+                outcome,
+                info,
+                no_more,
+                spent,
+                load,
+            });
+            return;
+        };
+        request.out = Some(Out { number, sent: now, host, streaming: false });
+        request.last = Some(target.clone());
+        request.released = false;
+        let expire = if expire == 0 { request.valid_until } else { expire.min(request.valid_until) };
+        self.outbound.send(Order {
+            attempt: AttemptId { request: id, number },
+            name: request.asked.name.clone(),
+            host: target.clone(),
+            expire: self.clock.instant(expire),
+            message: request.asked.message.clone(),
+        });
+    }
+
+    fn earmark(&mut self, id: RequestId, writer: HostId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let (Some(out), Some(writer)) = (request.out.as_ref(), self.hosts.get(&writer)) else { return };
+        let reading = AttemptId { request: id, number: out.number };
+        self.outbound.place(reading, request.asked.name.clone(), writer.clone());
+    }
+
+    fn release(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.released = true;
+        let (name, last) = (request.asked.name.clone(), request.last.clone());
+        let hosts = self.reachable(last);
+        self.outbound.release(id, name, hosts);
+    }
+
+    /// The servers through which something may be let go: any of them can, so the likeliest come first.
+    fn reachable(&mut self, first: Option<Rc<Host>>) -> Vec<Rc<Host>> {
+        let mut open: Vec<_> = self.hosts.values().filter(|h| h.is_open()).cloned().collect();
+        open.sort_by_key(|h| h.id);
+        self.turn = self.turn.wrapping_add(1);
+        let turn = self.turn % open.len().max(1);
+        open.rotate_left(turn);
+        let first = first.filter(|h| h.is_open());
+        open.retain(|h| first.as_ref().is_none_or(|f| f.id != h.id));
+        first.into_iter().chain(open).collect()
+    }
+
+    /// Ends a request: the only place that does. `None` where its client has all of the answer or is gone.
+    fn finish(&mut self, id: RequestId, answer: Option<Answer>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.over = true;
+        if let (Some(carrier), Some(answer)) = (request.carrier.take(), answer) {
+            carrier.answer(answer);
+        }
+    }
+
+    /// Drops the record of a request that is over and has nothing out.
+    fn forget(&mut self, id: RequestId) {
+        if self.requests.get(&id).is_some_and(|r| r.over && r.out.is_none()) {
+            self.requests.remove(&id);
+        }
+    }
+}
+
+impl Request {
+    fn streaming(&self) -> bool {
+        self.out.as_ref().is_some_and(|o| o.streaming)
+    }
+}
+
+fn request_of(event: &Event) -> Option<RequestId> {
+    match event {
+        Event::Ask(ask) => Some(ask.id),
+        Event::Result { id, .. } | Event::ClientGone(id) => Some(*id),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/router/src/front/mod.rs
@@ -0,0 +1,168 @@
+//! The server side: listening, connections, and what all fronts share. A front is a tower service over hyper
+//! that decodes a request once, waits at the exchange, and encodes the answer once.
+
+pub mod platform;
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body::{Body, Frame};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{watch, Semaphore};
+use tower::Service;
+
+use crate::exchange::{Broken, Gone, Parts};
+use crate::shutdown::Phase;
+
+/// The most that a request's body may hold.
+pub const BODY_MOST: usize = 256 * 1024;
+/// How long a client may take over the head of a request, its time between requests included ...
+const HEAD_WAIT: Duration = Duration::from_secs(60);
+/// ... and over the body.
+pub const BODY_WAIT: Duration = Duration::from_secs(10);
+/// After a failure to accept: descriptors may be short for a while.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+
+/// The body of an answer.
+pub enum AnswerBody {
+    /// Made here.
+    Text(Full<Bytes>),
+    /// A server's, with the guard that tells when its client is done.
+    Stream(Parts, #[allow(dead_code)] Gone),
+}
+
+impl AnswerBody {
+    /// A body that is known whole.
+    pub fn text(text: impl Into<Bytes>) -> AnswerBody {
+        AnswerBody::Text(Full::new(text.into()))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match self.get_mut() {
+            AnswerBody::Text(text) => Pin::new(text).poll_frame(cx).map_err(|e| match e {}),
+            // An error makes hyper close the connection without the last chunk: the client sees it broken.
+            AnswerBody::Stream(parts, _) => parts.poll_next(cx).map_ok(Frame::data),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, AnswerBody::Text(text) if text.is_end_stream())
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        match self {
+            AnswerBody::Text(text) => text.size_hint(),
+            AnswerBody::Stream(..) => http_body::SizeHint::default(),
+        }
+    }
+}
+
+/// What a front's service answers with.
+pub type Answered = Pin<Box<dyn Future<Output = Result<Response<AnswerBody>, Infallible>>>>;
+
+/// Listens, and serves each connection until `phase` says that the end has come and all is answered.
+pub async fn serve<S>(listener: TcpListener, service: S, most: usize, mut phase: watch::Receiver<Phase>)
+where
+    S: Service<Request<Incoming>, Response = Response<AnswerBody>, Error = Infallible, Future = Answered>
+        + Clone
+        + 'static,
+{
+    let places = std::sync::Arc::new(Semaphore::new(most));
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            _ = phase.wait_for(|p| *p >= Phase::Finishing) => break,
+            accepted = accept(&listener, &places) => accepted,
+        };
+        while connections.try_join_next().is_some() {}
+        let (stream, place) = accepted;
+        let (service, phase) = (service.clone(), phase.clone());
+        connections.spawn_local(async move {
+            connection(stream, service, phase).await;
+            drop(place);
+        });
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+/// The next connection, once there is a place for it: the rest wait in the system's queue. A failure, such
+/// as descriptors running out, must not end the listening.
+async fn accept(
+    listener: &TcpListener, places: &std::sync::Arc<Semaphore>,
+) -> (TcpStream, Option<tokio::sync::OwnedSemaphorePermit>) {
+    let place = places.clone().acquire_owned().await.ok();
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return (stream, place),
+            Err(error) => {
+                tracing::warn!(%error, "a connection could not be accepted");
+                tokio::time::sleep(ACCEPT_AGAIN).await;
+            }
+        }
+    }
+}
+
+async fn connection<S>(stream: TcpStream, service: S, mut phase: watch::Receiver<Phase>)
+where
+    S: Service<Request<Incoming>, Response = Response<AnswerBody>, Error = Infallible, Future = Answered>
+        + Clone
+        + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = TowerToHyperService::new(service);
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_WAIT)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(served);
+    let ended = tokio::select! {
+        ended = &mut served => ended,
+        _ = phase.wait_for(|p| *p >= Phase::Finishing) => {
+            served.as_mut().graceful_shutdown();
+            served.await
+        }
+    };
+    if let Err(error) = ended {
+        tracing::debug!(%error, "a client's connection ended");
+    }
+}
+
+/// Binds the address on which clients connect.
+pub async fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// What the fronts need to know besides the core.
+#[derive(Clone)]
+pub struct Readiness(Rc<watch::Receiver<bool>>);
+
+impl Readiness {
+    /// Ready once this says so.
+    pub fn new(fresh: watch::Receiver<bool>) -> Readiness {
+        Readiness(Rc::new(fresh))
+    }
+
+    /// Whether the list of workers has come.
+    pub fn is_ready(&self) -> bool {
+        *self.0.borrow()
+    }
+}
--- /dev/null
+++ b/router/src/front/platform.rs
@@ -0,0 +1,265 @@
+//! The platform's front: chat completions, described by headers, whose bodies pass unread.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::str::FromStr;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use cranetack_facts::Facts;
+use hillfront::ClassId;
+use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::request::Parts as Head;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use tokio::sync::watch;
+use tokio::time::timeout;
+use tower::Service;
+
+use super::{AnswerBody, Answered, Readiness, BODY_MOST, BODY_WAIT};
+use crate::core::{Asked, Handle};
+use crate::exchange::{Answer, Message};
+use crate::shutdown::Phase;
+
+const CHAT: &str = "/v1/chat/completions";
+const UP: &str = "/up";
+
+/// The front as a service.
+#[derive(Clone)]
+pub struct Platform {
+    handle: Handle,
+    classes: Rc<Vec<String>>,
+    readiness: Readiness,
+    phase: watch::Receiver<Phase>,
+}
+
+impl Platform {
+    /// A front that hands its requests to `handle`.
+    pub fn new(
+        handle: Handle, facts: &Facts, readiness: Readiness, phase: watch::Receiver<Phase>,
+    ) -> Platform {
+        let classes = Rc::new(facts.classes.iter().map(|c| c.name.clone()).collect());
+        Platform { handle, classes, readiness, phase }
+    }
+
+    async fn answer(self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let mut response = match (request.method(), request.uri().path()) {
+            (&Method::GET, UP) if self.readiness.is_ready() => text(StatusCode::OK, "ready\n"),
+            (&Method::GET, UP) => text(StatusCode::SERVICE_UNAVAILABLE, "not ready yet\n"),
+            (&Method::POST, CHAT) => self.chat(request).await.unwrap_or_else(Wrong::response),
+            (_, UP | CHAT) => text(StatusCode::METHOD_NOT_ALLOWED, "this method is not served here\n"),
+            _ => text(StatusCode::NOT_FOUND, "there is nothing at this path\n"),
+        };
+        // A client that is told now asks elsewhere next, and its connection needs no closing later.
+        if *self.phase.borrow() >= Phase::Leaving {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    async fn chat(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Wrong> {
+        let (head, body) = request.into_parts();
+        let body = timeout(BODY_WAIT, Limited::new(body, BODY_MOST).collect()).await;
+        let body = body.map_err(|_| Wrong::Slow)?.map_err(Wrong::of_body)?.to_bytes();
+        let caller = self.handle.ask(decode(&head, body, &self.classes)?);
+        let (answer, gone) = caller.answer().await;
+        Ok(match answer {
+            Answer::Served { media_type, parts } => {
+                let mut response = Response::new(AnswerBody::Stream(parts, gone));
+                if let Ok(media_type) = HeaderValue::from_str(&media_type) {
+                    response.headers_mut().insert(CONTENT_TYPE, media_type);
+                }
+                response
+            }
+            Answer::Refused(pause) => {
+                let mut response = text(StatusCode::SERVICE_UNAVAILABLE, "refused: there is no room now\n");
+                if !pause.is_zero() {
+                    let seconds = format!("{:.3}", pause.as_secs_f64());
+                    if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+                        response.headers_mut().insert(RETRY_AFTER, seconds);
+                    }
+                }
+                response
+            }
+            Answer::Failed => text(StatusCode::BAD_GATEWAY, "failed: it may have run\n"),
+        })
+    }
+}
+
+impl Service<Request<Incoming>> for Platform {
+    type Response = Response<AnswerBody>;
+    type Error = Infallible;
+    type Future = Answered;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: Request<Incoming>) -> Answered {
+        let front = self.clone();
+        Box::pin(async move { Ok(front.answer(request).await) })
+    }
+}
+
+fn text(status: StatusCode, text: impl Into<bytes::Bytes>) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::text(text));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; charset=utf-8"));
+    response
+}
+
+/// What is wrong with a request.
+#[derive(Debug, PartialEq, thiserror::Error)]
+enum Wrong {
+    #[error("the header {0} is missing")]
+    Missing(&'static str),
+    #[error("the header {0} cannot be read")]
+    Unreadable(&'static str),
+    #[error("the class {0:?} is not known")]
+    Class(String),
+    #[error("the body holds more than {BODY_MOST} bytes")]
+    TooLong,
+    #[error("the body could not be read")]
+    Body,
+    #[error("the body took too long")]
+    Slow,
+}
+
+impl Wrong {
+    fn of_body(error: Box<dyn std::error::Error + Send + Sync>) -> Wrong {
+        if error.is::<http_body_util::LengthLimitError>() {
+            Wrong::TooLong
+        } else {
+            Wrong::Body
+        }
+    }
+
+    fn response(self) -> Response<AnswerBody> {
+        let status = match self {
+            Wrong::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Wrong::Slow => StatusCode::REQUEST_TIMEOUT,
+            _ => StatusCode::BAD_REQUEST,
+        };
+        let mut response = text(status, format!("{self}\n"));
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        response
+    }
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Wrong> {
+    let value = headers.get(name).map(HeaderValue::to_str).transpose();
+    value.map_err(|_| Wrong::Unreadable(name))
+}
+
+fn needed<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<&'a str, Wrong> {
+    header(headers, name)?.filter(|v| !v.is_empty()).ok_or(Wrong::Missing(name))
+}
+
+fn number<T: FromStr>(text: &str, name: &'static str) -> Result<T, Wrong> {
+    text.trim().parse().map_err(|_| Wrong::Unreadable(name))
+}
+
+/// An id goes into the path of the calls that hold and free places, so it must be a plain word.
+fn is_word(id: &str) -> bool {
+    id.len() <= 128 && id.bytes().all(|b| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.' | b'~'))
+}
+
+fn decode(head: &Head, body: bytes::Bytes, classes: &[String]) -> Result<Asked, Wrong> {
+    let headers = &head.headers;
+    let name = needed(headers, "X-Request-Id")?;
+    if !is_word(name) {
+        return Err(Wrong::Unreadable("X-Request-Id"));
+    }
+    let class = needed(headers, "X-Class")?;
+    let class = classes.iter().position(|c| c == class).ok_or_else(|| Wrong::Class(class.to_owned()))?;
+    let patience: u32 = number(needed(headers, "X-Deadline-Ms")?, "X-Deadline-Ms")?;
+    let hint = header(headers, "X-Cost-Hint")?.map(|v| number::<u32>(v, "X-Cost-Hint")).transpose()?;
+    let retry = header(headers, "X-Retry")?;
+    let target = head.uri.path_and_query().map_or(CHAT, |t| t.as_str()).to_owned();
+    let media_type = header(headers, "content-type")?.unwrap_or("application/json").to_owned();
+    let mut asked = Asked {
+        name: name.into(),
+        class: ClassId(class),
+        session: header(headers, "X-Key")?.map(str::to_owned),
+        prefix: None,
+        patience: Duration::from_millis(patience.into()),
+        hint: hint.map(|ms| Duration::from_millis(ms.into())),
+        prompt_tokens: 0,
+        shared_tokens: 0,
+        max_tokens: 0,
+        retry: retry.is_some(),
+        came_back: retry == Some("again"),
+        message: Rc::new(Message { target, media_type, body }),
+    };
+    for pair in header(headers, "X-Extras")?.unwrap_or("").split(',') {
+        let Some((key, value)) = pair.trim().split_once('=') else { continue };
+        match key {
+            "prefix" => asked.prefix = Some(value.to_owned()),
+            "prompt_len" => asked.prompt_tokens = number(value, "X-Extras")?,
+            "prefix_len" => asked.shared_tokens = number(value, "X-Extras")?,
+            "max_out" => asked.max_tokens = number(value, "X-Extras")?,
+            _ => {}
+        }
+    }
+    Ok(asked)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn head(headers: &[(&str, &str)]) -> Head {
+        let request = Request::post("/v1/chat/completions?a=b");
+        let request = headers.iter().fold(request, |r, (name, value)| r.header(*name, *value));
+        request.body(()).unwrap().into_parts().0
+    }
+
+    fn classes() -> Vec<String> {
+        vec!["lookup".to_owned(), "order".to_owned()]
+    }
+
+    const WHOLE: [(&str, &str); 5] = [
+        ("X-Request-Id", "9b1f"),
+        ("X-Class", "order"),
+        ("X-Key", "7f3a"),
+        ("X-Deadline-Ms", "4800"),
+        ("X-Extras", "prefix=5c0f,prompt_len=5120,prefix_len=2048,max_out=800,later=x"),
+    ];
+
+    #[test]
+    fn a_request_is_decoded_from_its_headers() {
+        let asked = decode(&head(&WHOLE), "{}".into(), &classes()).unwrap();
+        assert_eq!((&*asked.name, asked.class), ("9b1f", ClassId(1)));
+        assert_eq!(asked.session.as_deref(), Some("7f3a"));
+        assert_eq!(asked.prefix.as_deref(), Some("5c0f"));
+        assert_eq!((asked.prompt_tokens, asked.shared_tokens, asked.max_tokens), (5_120, 2_048, 800));
+        assert_eq!(asked.patience, Duration::from_millis(4_800));
+        assert_eq!(asked.message.target, "/v1/chat/completions?a=b");
+        assert!(!asked.retry && !asked.came_back);
+    }
+
+    #[test]
+    fn bad_input_is_told_plainly() {
+        for (name, value, wrong) in [
+            ("X-Request-Id", "", Wrong::Missing("X-Request-Id")),
+            ("X-Request-Id", "a/../b", Wrong::Unreadable("X-Request-Id")),
+            ("X-Class", "other", Wrong::Class("other".to_owned())),
+            ("X-Deadline-Ms", "-1", Wrong::Unreadable("X-Deadline-Ms")),
+            ("X-Deadline-Ms", "99999999999999", Wrong::Unreadable("X-Deadline-Ms")),
+            ("X-Extras", "prompt_len=many", Wrong::Unreadable("X-Extras")),
+        ] {
+            let mut headers = WHOLE;
+            headers.iter_mut().filter(|(n, _)| *n == name).for_each(|h| h.1 = value);
+            assert_eq!(decode(&head(&headers), "{}".into(), &classes()).unwrap_err(), wrong);
+        }
+    }
+
+    #[test]
+    fn a_client_that_asks_for_the_rest_is_marked() {
+        let mut headers = WHOLE.to_vec();
+        headers.push(("X-Retry", "again"));
+        let asked = decode(&head(&headers), "{}".into(), &classes()).unwrap();
+        assert!(asked.retry && asked.came_back);
+    }
+}
--- /dev/null
+++ b/router/src/shutdown.rs
@@ -0,0 +1,49 @@
+//! The end of the program: on SIGTERM new connections are taken for a span, then kept ones are closed between
+//! requests, and the program ends when all that it has taken is answered.
+
+use std::time::Duration;
+
+use tokio::sync::watch;
+
+/// For how long connections are accepted after the signal: those that send them here need to notice.
+pub const ACCEPT_FOR: Duration = Duration::from_millis(700);
+
+/// How far the end has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// All is served.
+    Serving,
+    /// The signal has come: still accepting, and each answer asks for its connection to be closed.
+    Leaving,
+    /// Nothing new is accepted; what has been taken is finished.
+    Finishing,
+}
+
+/// Starts the phases and returns where they can be seen. `signal` completes when the end is wanted.
+pub fn phases(signal: impl std::future::Future<Output = ()> + 'static) -> watch::Receiver<Phase> {
+    let (tx, rx) = watch::channel(Phase::Serving);
+    tokio::task::spawn_local(async move {
+        signal.await;
+        tracing::info!("leaving: what has been taken is finished");
+        tx.send_replace(Phase::Leaving);
+        tokio::time::sleep(ACCEPT_FOR).await;
+        tx.send_replace(Phase::Finishing);
+        tx.closed().await;
+    });
+    rx
+}
+
+/// Waits until the program is asked to end.
+pub async fn terminated() {
+    use tokio::signal::unix::{signal, SignalKind};
+    match (signal(SignalKind::terminate()), signal(SignalKind::interrupt())) {
+        (Ok(mut term), Ok(mut int)) => {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = int.recv() => {}
+            }
+        }
+        // Without handlers the signals end the program at once, as the system does by default.
+        _ => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/router/src/upstream/mod.rs
@@ -0,0 +1,424 @@
+//! The client side: attempts, probes, and places held at workers, over connections that it owns.
+
+mod link;
+mod reply;
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cranetack_facts::Report;
+use hillfront::{HostId, Outcome, RequestId};
+use http::{Method, Request, Response, StatusCode};
+use http_body::Body;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use tokio::sync::{oneshot, watch};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
+
+use crate::core::{AttemptId, Ended, Handle, Happening, Host, Order, Outbound, Place};
+use crate::exchange::{self, Sink};
+use crate::peers::Peers;
+use link::{Link, Links};
+use reply::{Reply, Tail};
+
+/// The most of an answer that is held at once; streams are not held.
+const BODY_MOST: usize = 64 * 1024;
+/// How long a stream may be silent: servers pause for less, and a machine that vanished says nothing.
+const SILENCE: Duration = Duration::from_secs(4);
+/// How long a writer may take to answer a request for a place.
+const PLACE_WAIT: Duration = Duration::from_secs(1);
+/// How long one server may take to let go before another is asked ...
+const RELEASE_WAIT: Duration = Duration::from_millis(120);
+/// ... and how long this is tried for.
+const RELEASE_FOR: Duration = Duration::from_secs(10);
+/// Between two looks for connections to retire.
+const RETIRE_EVERY: Duration = Duration::from_millis(500);
+
+/// Timings and sizes of the client side.
+#[derive(Clone)]
+pub struct Options {
+    /// Connections to all workers together.
+    pub most_links: usize,
+    /// How long a connection may take to come up.
+    pub connect_timeout: Duration,
+    /// When workers close an idle connection.
+    pub idle_close: Duration,
+    /// The names of the figures in load reports.
+    pub report: Report,
+}
+
+/// The client side.
+pub struct Upstream {
+    shared: Rc<Shared>,
+    running: Running,
+    peers: Option<Peers>,
+}
+
+struct Shared {
+    handle: Handle,
+    links: Links,
+    options: Options,
+}
+
+/// Attempts that are out, by their ids.
+type Running = Rc<RefCell<HashMap<AttemptId, Control>>>;
+
+struct Control {
+    withdraw: Option<oneshot::Sender<()>>,
+    break_off: Option<oneshot::Sender<()>>,
+    written: watch::Receiver<bool>,
+}
+
+impl Upstream {
+    /// A client side that reports to this handle. Must be called within a `LocalSet`.
+    pub fn new(handle: Handle, options: Options, peers: Option<Peers>) -> Upstream {
+        let links = Links::new(options.most_links, options.connect_timeout, options.idle_close);
+        let shared = Rc::new(Shared { handle, links, options });
+        let weak = Rc::downgrade(&shared);
+        tokio::task::spawn_local(async move {
+            while let Some(shared) = weak.upgrade() {
+                shared.links.retire();
+                drop(shared);
+                tokio::time::sleep(RETIRE_EVERY).await;
+            }
+        });
+        Upstream { shared, running: Running::default(), peers }
+    }
+}
+
+impl Outbound for Upstream {
+    fn send(&mut self, order: Order) {
+        let (withdraw, withdrawn) = oneshot::channel();
+        let (break_off, broken_off) = oneshot::channel();
+        let (written_tx, written) = watch::channel(false);
+        let control = Control { withdraw: Some(withdraw), break_off: Some(break_off), written };
+        let report = Reporter {
+            attempt: order.attempt,
+            handle: self.shared.handle.clone(),
+            running: self.running.clone(),
+            ended: Outcome::Reset.into(),
+        };
+        self.running.borrow_mut().insert(order.attempt, control);
+        let attempt =
+            Attempt { shared: self.shared.clone(), order, written: written_tx, withdrawn, broken_off };
+        tokio::task::spawn_local(attempt.run(report));
+    }
+
+    fn withdraw(&mut self, attempt: AttemptId, streaming: bool) {
+        if let Some(control) = self.running.borrow_mut().get_mut(&attempt) {
+            let word = if streaming { &mut control.break_off } else { &mut control.withdraw };
+            word.take().map(|w| w.send(()));
+        }
+    }
+
+    fn place(&mut self, reading: AttemptId, name: Rc<str>, writer: Rc<Host>) {
+        let Some(written) = self.running.borrow().get(&reading).map(|c| c.written.clone()) else { return };
+        let shared = self.shared.clone();
+        tokio::task::spawn_local(async move {
+            if let Some(place) = shared.ask_place(written, &name, &writer).await {
+                let host = writer.id;
+                shared.handle.tell(Happening::Placed { request: reading.request, name, host, place });
+            }
+        });
+    }
+
+    fn release(&mut self, _request: RequestId, name: Rc<str>, hosts: Vec<Rc<Host>>) {
+        let shared = self.shared.clone();
+        tokio::task::spawn_local(async move { shared.let_go(&name, &hosts).await });
+    }
+
+    fn probe(&mut self, host: Rc<Host>) {
+        let shared = self.shared.clone();
+        tokio::task::spawn_local(async move {
+            let began = Instant::now();
+            let (outcome, load) = match shared.load(&host).await {
+                Ok((StatusCode::OK, text)) => {
+                    (Outcome::Good, Some(reply::load(&text, &shared.options.report)))
+                }
+                Ok(_) => (Outcome::Full, None),
+                Err(outcome) => (outcome, None),
+            };
+            shared.handle.tell(Happening::Probed { host: host.id, outcome, spent: began.elapsed(), load });
+        });
+    }
+
+    fn close_idle(&mut self, host: HostId) {
+        self.shared.links.close_idle(host);
+    }
+
+    fn publish(&mut self, to: Option<u32>, bytes: Vec<u8>) {
+        if let Some(peers) = &self.peers {
+            peers.send(to, &bytes);
+        }
+    }
+}
+
+/// Reports the end of an attempt when dropped, so that one whose task fails is not lost.
+struct Reporter {
+    attempt: AttemptId,
+    handle: Handle,
+    running: Running,
+    ended: Ended,
+}
+
+impl Drop for Reporter {
+    fn drop(&mut self) {
+        self.running.borrow_mut().remove(&self.attempt);
+        self.handle.tell(Happening::Ended(self.attempt, self.ended));
+    }
+}
+
+struct Attempt {
+    shared: Rc<Shared>,
+    order: Order,
+    written: watch::Sender<bool>,
+    withdrawn: oneshot::Receiver<()>,
+    broken_off: oneshot::Receiver<()>,
+}
+
+/// How an attempt stands once its answer has a beginning or it has ended without one.
+enum Begun {
+    Ended(Ended),
+    Streams { body: Incoming, first: Bytes, media_type: String },
+}
+
+impl Attempt {
+    async fn run(mut self, mut report: Reporter) {
+        let mut slot = None;
+        let begun = tokio::select! {
+            biased;
+            begun = begin(&self.shared, &self.order, &self.written, &mut slot) => begun,
+            Ok(()) = &mut self.withdrawn => Begun::Ended(Outcome::Cancelled.into()),
+            () = sleep_until(self.order.expire) => Begun::Ended(Outcome::Late.into()),
+        };
+        report.ended = match begun {
+            Begun::Streams { body, first, media_type } => {
+                self.stream(body, first, media_type, &mut slot).await
+            }
+            Begun::Ended(ended) => ended,
+        };
+        // Whatever has not been given back is closed before the end is told: what is sent next must find
+        // this attempt gone. And what was never written whole has never run.
+        if let Some(link) = slot {
+            let ended = report.ended.outcome;
+            if matches!(ended, Outcome::Late | Outcome::Reset) && !link.meter().all_out() {
+                report.ended = Outcome::NoConn.into();
+            }
+            link.close().await;
+        }
+    }
+
+    async fn stream(
+        &mut self, mut body: Incoming, first: Bytes, media_type: String, slot: &mut Option<Link>,
+    ) -> Ended {
+        let (sink, parts) = exchange::stream();
+        let attempt = self.order.attempt;
+        self.shared.handle.tell(Happening::Established { attempt, media_type, parts });
+        let pumped = tokio::select! {
+            pumped = pump(&mut body, first, sink) => pumped,
+            Ok(()) = &mut self.broken_off => Err(Outcome::Cancelled),
+        };
+        match pumped {
+            Ok(tail) => {
+                if let Some(link) = slot.take() {
+                    self.shared.links.put(link).await;
+                }
+                tail.ended(&self.shared.options.report)
+            }
+            Err(outcome) => outcome.into(),
+        }
+    }
+}
+
+/// Passes a stream on, unchanged and as it comes, to its end.
+async fn pump(body: &mut Incoming, first: Bytes, sink: Sink) -> Result<Tail, Outcome> {
+    let mut tail = Tail::default();
+    let mut data = Some(first);
+    loop {
+        if let Some(data) = data.take() {
+            tail.push(&data);
+            let pushed = timeout(SILENCE, sink.push(data)).await;
+            pushed.map_err(|_| Outcome::Cancelled)?.map_err(|_| Outcome::Cancelled)?;
+        }
+        tokio::select! {
+            frame = timeout(SILENCE, body.frame()) => match frame {
+                Ok(Some(Ok(frame))) => data = frame.into_data().ok(),
+                Ok(None) => break,
+                Ok(Some(Err(_))) | Err(_) => return Err(Outcome::Reset),
+            },
+            () = sink.unread() => return Err(Outcome::Cancelled),
+        }
+    }
+    // Whoever leaves at the very end has had all of it.
+    let _ = sink.end().await;
+    Ok(tail)
+}
+
+/// Sends the request and waits for the beginning of its answer, or its end. The connection stays in `slot`
+/// unless it has been given back.
+async fn begin(
+    shared: &Shared, order: &Order, written: &watch::Sender<bool>, slot: &mut Option<Link>,
+) -> Begun {
+    let none = || Begun::Ended(Outcome::NoConn.into());
+    let answer = loop {
+        let Ok(link) = shared.links.take(&order.host, order.expire).await else { return none() };
+        // A connection may have taken its time: what drains by now is sent nothing more.
+        if !order.host.is_open() {
+            shared.links.put(link).await;
+            return none();
+        }
+        let link = slot.insert(link);
+        let left = order.expire.saturating_duration_since(Instant::now()).as_millis();
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(order.message.target.as_str())
+            .header("host", "worker")
+            .header("x-request-id", &*order.name)
+            .header("x-deadline-ms", left.to_string())
+            .header("content-type", order.message.media_type.as_str())
+            .body(order.message.body.clone());
+        let Ok(request) = request else { return Begun::Ended(Outcome::Nop.into()) };
+        let meter = link.meter().clone();
+        let told = async {
+            meter.wait_all_out().await;
+            written.send_replace(true);
+            std::future::pending::<()>().await;
+        };
+        let answer = tokio::select! {
+            answer = link.send(request) => answer,
+            () = told => return none(),
+        };
+        match answer {
+            Ok(answer) => break answer,
+            Err(_) if slot.as_ref().is_some_and(Link::was_stale) => {
+                // Closed while it was kept: nothing of the request is out, so this is no second copy.
+                if let Some(link) = slot.take() {
+                    link.close().await;
+                }
+            }
+            Err(_) => return Begun::Ended(Outcome::Reset.into()),
+        }
+    };
+    answered(shared, answer, slot).await
+}
+
+async fn answered(shared: &Shared, answer: Response<Incoming>, slot: &mut Option<Link>) -> Begun {
+    let (head, mut body) = answer.into_parts();
+    let load = reply::load_of(&head.headers, &shared.options.report);
+    let reply = Reply::decode(head.status, &head.headers);
+    if reply == Reply::Stream {
+        let media_type = head.headers.get("content-type").and_then(|v| v.to_str().ok());
+        let media_type = media_type.unwrap_or("text/event-stream").to_owned();
+        return loop {
+            match body.frame().await {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(first) if !first.is_empty() => break Begun::Streams { body, first, media_type },
+                    _ => {}
+                },
+                Some(Err(_)) | None => break Begun::Ended(Outcome::Reset.into()),
+            }
+        };
+    }
+    let Ok(text) = collect(body).await else { return Begun::Ended(Outcome::Reset.into()) };
+    if let Some(link) = slot.take() {
+        shared.links.put(link).await;
+    }
+    Begun::Ended(match reply {
+        Reply::Ended(outcome, info) => Ended { outcome, info, load },
+        _ => Ended { outcome: Outcome::HalfDone, info: reply::kept_tokens(&text), load },
+    })
+}
+
+async fn collect<B: Body<Data = Bytes>>(body: B) -> Result<Bytes, Box<dyn std::error::Error + Send + Sync>>
+where
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    Ok(Limited::new(body, BODY_MOST).collect().await?.to_bytes())
+}
+
+/// A call without a body.
+fn call(method: Method, target: &str) -> Option<Request<Bytes>> {
+    Request::builder().method(method).uri(target).header("host", "worker").body(Bytes::new()).ok()
+}
+
+impl Shared {
+    /// Makes a short call and gives its connection back. `Err` says whether the call may have been heard.
+    async fn call(
+        &self, link: Link, request: Request<Bytes>, until: Instant,
+    ) -> Result<(StatusCode, Bytes), bool> {
+        let mut link = link;
+        let answer = timeout_at(until, async {
+            let answer = link.send(request).await.ok()?;
+            let status = answer.status();
+            Some((status, collect(answer.into_body()).await.ok()?))
+        });
+        match answer.await.ok().flatten() {
+            Some(answer) => {
+                self.links.put(link).await;
+                Ok(answer)
+            }
+            None => {
+                let heard = link.meter().all_out();
+                link.close().await;
+                Err(heard)
+            }
+        }
+    }
+
+    async fn load(&self, host: &Host) -> Result<(StatusCode, String), Outcome> {
+        let until = Instant::now() + self.options.connect_timeout;
+        let link = self.links.take(host, until).await.map_err(|_| Outcome::NoConn)?;
+        let request = call(Method::GET, "/metrics/load").ok_or(Outcome::Nop)?;
+        match self.call(link, request, until).await {
+            Ok((status, body)) => Ok((status, String::from_utf8_lossy(&body).into_owned())),
+            Err(true) => Err(Outcome::Late),
+            Err(false) => Err(Outcome::NoConn),
+        }
+    }
+
+    /// Asks for a place once the reading request's last byte is out; `None` if nothing was asked.
+    async fn ask_place(
+        &self, mut written: watch::Receiver<bool>, name: &str, writer: &Host,
+    ) -> Option<Place> {
+        let until = Instant::now() + self.options.connect_timeout;
+        // The reading attempt's end drops the sender: then there is no read to hold a place for.
+        let out = async { written.wait_for(|w| *w).await.is_ok() };
+        let (out, link) = tokio::join!(out, self.links.take(writer, until));
+        let link = link.ok()?;
+        if !out || written.has_changed().is_err() || !writer.is_open() {
+            self.links.put(link).await;
+            return None;
+        }
+        let request = call(Method::POST, &format!("/bootstrap/rooms/{name}"))?;
+        match self.call(link, request, Instant::now() + PLACE_WAIT).await {
+            Ok((StatusCode::OK, _)) => Some(Place::Held),
+            Ok((StatusCode::CONFLICT, _)) => Some(Place::Refused),
+            Ok((StatusCode::NOT_FOUND, _)) | Err(false) => None,
+            Ok(_) | Err(true) => Some(Place::Unsure),
+        }
+    }
+
+    /// Lets go of all that is held for a request, through the first of the servers that answers.
+    async fn let_go(&self, name: &str, hosts: &[Rc<Host>]) {
+        let give_up = Instant::now() + RELEASE_FOR;
+        for host in hosts.iter().cycle() {
+            let until = Instant::now() + RELEASE_WAIT;
+            if until > give_up {
+                break;
+            }
+            let Ok(link) = self.links.take(host, until).await else {
+                // Refused at once, perhaps by all: the next try waits a little.
+                tokio::time::sleep(Duration::from_millis(5)).await;
+                continue;
+            };
+            let Some(request) = call(Method::DELETE, &format!("/bootstrap/rooms/{name}")) else { return };
+            if self.call(link, request, until).await.is_ok() {
+                return;
+            }
+        }
+        tracing::warn!(request = name, "nobody could be told to let go");
+    }
+}
--- /dev/null
+++ b/router/src/upstream/reply.rs
@@ -0,0 +1,158 @@
+//! What workers say: outcomes from the heads of their answers, and load reports.
+
+use cranetack_facts::Report;
+use hillfront::{Load, Outcome};
+use http::{HeaderMap, StatusCode};
+use serde::Deserialize;
+
+use crate::core::Ended;
+
+/// The header, and the comment in a stream, that bears a load report.
+const LOAD: &str = "x-load";
+
+/// The head of an answer, decoded.
+#[derive(Debug, PartialEq)]
+pub enum Reply {
+    /// The answer follows.
+    Stream,
+    /// The prompt has been read; the body says how much of it was found kept.
+    Read,
+    /// The attempt has ended like this.
+    Ended(Outcome, u64),
+}
+
+impl Reply {
+    /// Decodes the head of an answer to an attempt.
+    pub fn decode(status: StatusCode, headers: &HeaderMap) -> Reply {
+        let not_run = headers.get("x-not-run").is_some_and(|v| v.as_bytes() == b"1");
+        match (status, not_run) {
+            (StatusCode::OK, _) => Reply::Stream,
+            (StatusCode::ACCEPTED, _) => Reply::Read,
+            (StatusCode::GONE, true) => Reply::Ended(Outcome::Full, 1),
+            (_, true) => Reply::Ended(Outcome::Full, 0),
+            (_, false) => Reply::Ended(Outcome::Bad, 0),
+        }
+    }
+}
+
+/// The prompt tokens that the body of a reader's answer says were kept.
+pub fn kept_tokens(body: &[u8]) -> u64 {
+    #[derive(Deserialize)]
+    struct Body {
+        cached_tokens: u64,
+    }
+    serde_json::from_slice::<Body>(body).map_or(0, |b| b.cached_tokens)
+}
+
+/// The load report among the headers of an answer.
+pub fn load_of(headers: &HeaderMap, columns: &Report) -> Option<Load> {
+    headers.get(LOAD).and_then(|v| v.to_str().ok()).map(|text| load(text, columns))
+}
+
+/// A load report: `TEXT name=figure, name=figure`.
+pub fn load(text: &str, columns: &Report) -> Load {
+    let mut load = Load::default();
+    let text = text.trim();
+    let text = text.strip_prefix("TEXT").unwrap_or(text);
+    for pair in text.split([',', ' ', '\n']) {
+        let Some((name, figure)) = pair.trim().split_once('=') else { continue };
+        let (name, figure) = (name.trim(), figure.trim().parse::<f64>().ok().filter(|f| f.is_finite()));
+        match name {
+            "inflight" => load.inflight = figure,
+            "queue" => load.queue = figure,
+            "util" => load.util = figure,
+            _ if columns.memory_column.as_deref() == Some(name) => load.memory = figure,
+            _ if columns.pending_column.as_deref() == Some(name) => load.pending_k = figure,
+            _ => {}
+        }
+    }
+    load
+}
+
+/// The end of a stream, in which its last events tell what the answer used and how the worker fares.
+#[derive(Default)]
+pub struct Tail(Vec<u8>);
+
+/// Bytes of a stream's end that are looked at: its last few events.
+const TAIL: usize = 1_024;
+
+impl Tail {
+    /// Adds what has come.
+    pub fn push(&mut self, data: &[u8]) {
+        self.0.extend_from_slice(data);
+        if self.0.len() > 2 * TAIL {
+            self.0.drain(..self.0.len() - TAIL);
+        }
+    }
+
+    /// What the end says of an attempt that was served.
+    pub fn ended(&self, columns: &Report) -> Ended {
+        let text = String::from_utf8_lossy(&self.0);
+        let after = |word: &str| text.rfind(word).map(|at| &text[at + word.len()..]);
+        let digits = |t: &str| t.trim_start().chars().take_while(char::is_ascii_digit).collect::<String>();
+        let kept = after("\"cached_tokens\":").and_then(|t| digits(t).parse().ok()).unwrap_or(0);
+        let load = after(": X-Load:").and_then(|t| t.lines().next()).map(|line| load(line, columns));
+        Ended { outcome: Outcome::Good, info: kept, load }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn columns() -> Report {
+        let (memory, pending) = (Some("x0".to_owned()), Some("x1".to_owned()));
+        Report { memory_column: memory, pending_column: pending, ..Report::default() }
+    }
+
+    #[test]
+    fn heads_tell_what_may_have_run() {
+        let mut not_run = HeaderMap::new();
+        not_run.insert("x-not-run", "1".parse().unwrap());
+        let none = HeaderMap::new();
+        for (status, headers, reply) in [
+            (200, &none, Reply::Stream),
+            (202, &none, Reply::Read),
+            (500, &none, Reply::Ended(Outcome::Bad, 0)),
+            (503, &none, Reply::Ended(Outcome::Bad, 0)),
+            (503, &not_run, Reply::Ended(Outcome::Full, 0)),
+            (504, &not_run, Reply::Ended(Outcome::Full, 0)),
+            (410, &not_run, Reply::Ended(Outcome::Full, 1)),
+            (410, &none, Reply::Ended(Outcome::Bad, 0)),
+        ] {
+            assert_eq!(Reply::decode(StatusCode::from_u16(status).unwrap(), headers), reply, "{status}");
+        }
+    }
+
+    #[test]
+    fn reports_are_read_by_the_names_of_the_settings_and_nonsense_is_left_out() {
+        let report = load("TEXT inflight=7, queue=2, util=0.61, x0=0.4, x1=12.5, new=3", &columns());
+        let whole = Load {
+            inflight: Some(7.0),
+            queue: Some(2.0),
+            util: Some(0.61),
+            memory: Some(0.4),
+            pending_k: Some(12.5),
+        };
+        assert_eq!(report, whole);
+        assert_eq!(load("x0=NaN,x1=,=5, util", &columns()), Load::default());
+    }
+
+    #[test]
+    fn the_end_of_a_stream_tells_kept_tokens_and_load_however_it_is_split() {
+        let text =
+            "data: {\"usage\":{\"prompt_tokens_details\":{\"cached_tokens\":4096}}}\n\ndata: [DONE]\n\n\
+                    : X-Load: TEXT x0=0.25\n\n";
+        let mut tail = Tail::default();
+        tail.push(&vec![b'x'; 5_000]);
+        text.as_bytes().chunks(7).for_each(|part| tail.push(part));
+        let ended = tail.ended(&columns());
+        assert_eq!((ended.info, ended.load.and_then(|l| l.memory)), (4_096, Some(0.25)));
+    }
+
+    #[test]
+    fn a_readers_body_tells_kept_tokens() {
+        assert_eq!(kept_tokens(b"{\"cached_tokens\":4096}"), 4_096);
+        assert_eq!(kept_tokens(b"odd"), 0);
+    }
+}
