--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -1,5 +1,5 @@
 //! Reads batches of events from standard input, one JSON value a line, and answers each with one line of actions.
-//! No decision is made here: wire values become the types of `hillfront` and back.
+//! No decision is made here: wire values become the types of `cranetack` and back.
 
 mod wire;
 
@@ -11,7 +11,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("hillfront-adapter: {message}");
+            eprintln!("cranetack-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- a/facts/src/lib.rs
+++ b/facts/src/lib.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use hillfront::{Class, Effect, KeyScope, Kind, Reporting, Settings, Stage, ZoneId};
+use cranetack::{Class, Effect, KeyScope, Kind, Reporting, Settings, Stage, ZoneId};
 use serde::Deserialize;
 
 /// The settings of one dispatcher.
--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use cranetack::Settings;
 use cranetack_facts::Facts;
-use hillfront::Settings;
 use serde::Deserialize;
 
 use crate::discovery::List;
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use hillfront::{
+use cranetack::{
     Action, Ask, CellId, ClassId, Event, HostId, KindId, ListForm, Load, Member, Micros, Outcome, Policy,
     PrefixId, Readiness, RequestId, SessionId, Settings, ZoneId,
 };
--- a/router/src/front/platform.rs
+++ b/router/src/front/platform.rs
@@ -6,8 +6,8 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use cranetack::ClassId;
 use cranetack_facts::Facts;
-use hillfront::ClassId;
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use http::request::Parts as Head;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -17,7 +17,7 @@
 use std::future::Future;
 use std::time::Duration;
 
-use hillfront::ListForm;
+use cranetack::ListForm;
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
 
--- a/router/src/upstream/link.rs
+++ b/router/src/upstream/link.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hillfront::HostId;
+use cranetack::HostId;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
--- a/router/src/upstream/mod.rs
+++ b/router/src/upstream/mod.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cranetack::{HostId, Outcome, RequestId};
 use cranetack_facts::Report;
-use hillfront::{HostId, Outcome, RequestId};
 use http::{Method, Request, Response, StatusCode};
 use http_body::Body;
 use http_body_util::{BodyExt, Limited};
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small stand-in for a dispatcher: builds settings, lists and requests, and collects actions.
 #![allow(dead_code)]
 
-use hillfront::*;
+use cranetack::*;
 
 pub const SECOND: Micros = 1_000_000;
 pub const START: Micros = 50 * SECOND;
--- a/tests/giving_up.rs
+++ b/tests/giving_up.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use hillfront::*;
+use cranetack::*;
 
 const READER: u64 = 1;
 const WRITER: u64 = 2;
--- a/tests/lanes.rs
+++ b/tests/lanes.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use hillfront::*;
+use cranetack::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use common::*;
-use hillfront::*;
+use cranetack::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
