Carry embeddings and rerank beside chat on a second front

The front decodes the public inference interface's requests into small typed values and hands them to the same core. A batch above slice_tokens is served slice by slice, one attempt out at a time, and its answers are joined. Errors have the interface's JSON form; a deadline that has passed is 504, a refusal 503 with Retry-After, a failure 502.

Seen while testing on loopback, with stand-ins for discovery, workers and clients: - A broken stream could lose events already passed on, even the head: hyper drops what it has not written when a body fails. The failure now waits for one turn of the connection (front::Stream::poll_next). - A client that left before the first part of its answer did not end its attempt: the module released nothing until the attempt's own end. The module now calls the attempt off (Policy::leave). Checked and ruled out for the first: the upstream's sink delivers the event, so the loss was on the client's side of the exchange.

--- /dev/null
+++ b/router/src/front/inference/mod.rs
@@ -0,0 +1,455 @@
+//! The second front: embeddings and rerank beside chat, as public inference interfaces have them. It is off
+//! unless an operator's file sets it up. It decides nothing: it hands requests to the same core.
+
+mod batch;
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::path::Path;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use cranetack::ClassId;
+use cranetack_facts::Facts;
+use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::request::Parts as Head;
+use http::{HeaderValue, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde_json::{json, Value};
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tower::Service;
+
+use super::{is_word, read_body, AnswerBody, Answered, BodyError};
+use crate::config::ConfigError;
+use crate::core::{Asked, Handle};
+use crate::exchange::{Answer, Message, Parts};
+use crate::shutdown::Phase;
+use batch::{text_tokens, Batch, Kind};
+
+const CHAT: &str = "/v1/chat/completions";
+const EMBEDDINGS: &str = "/v1/embeddings";
+const RERANK: &str = "/v1/rerank";
+/// The most that the answer to a slice may hold: vectors are long when written out.
+const ANSWER_MOST: usize = 4 * 1024 * 1024;
+/// The longest that a client may ask to wait.
+const PATIENCE_MOST: Duration = Duration::from_secs(600);
+
+/// The operator's file.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Setup {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// How chat is served.
+    pub chat: Endpoint,
+    /// How embeddings are served.
+    pub embeddings: Endpoint,
+    /// How reranking is served.
+    pub rerank: Endpoint,
+}
+
+/// How one kind of request is served.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Endpoint {
+    /// Its class in the settings.
+    pub class: String,
+    /// How long a client waits that does not say.
+    pub deadline_ms: u32,
+    /// The most tokens that a batch sends at once.
+    #[serde(default = "default_slice")]
+    pub slice_tokens: u64,
+}
+
+fn default_slice() -> u64 {
+    2_048
+}
+
+impl Setup {
+    /// Reads the operator's file and checks it against the settings.
+    pub fn load(path: &Path, facts: &Facts) -> Result<Setup, ConfigError> {
+        let shown = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => {
+                Setup::parse(&text, facts).map_err(|message| ConfigError::Wrong { path: shown, message })
+            }
+            Err(source) => Err(ConfigError::Unreadable { path: shown, source }),
+        }
+    }
+
+    /// Reads the file from its text. The message is one line that names the key that is wrong.
+    pub fn parse(text: &str, facts: &Facts) -> Result<Setup, String> {
+        let toml = toml::Deserializer::parse(text).map_err(|e| format!("not TOML: {}", e.message()))?;
+        let setup: Setup = serde_path_to_error::deserialize(toml)
+            .map_err(|e| format!("{}: {}", e.path(), e.inner().message()))?;
+        for (key, endpoint) in
+            [("chat", &setup.chat), ("embeddings", &setup.embeddings), ("rerank", &setup.rerank)]
+        {
+            if !facts.classes.iter().any(|c| c.name == endpoint.class) {
+                return Err(format!("{key}.class: the settings have no class {:?}", endpoint.class));
+            }
+            if endpoint.deadline_ms == 0 {
+                return Err(format!("{key}.deadline_ms: must be above 0"));
+            }
+            if endpoint.slice_tokens == 0 {
+                return Err(format!("{key}.slice_tokens: must be above 0"));
+            }
+        }
+        Ok(setup)
+    }
+}
+
+/// A body that is not as the interface has it.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Unreadable {
+    param: Option<&'static str>,
+    message: String,
+}
+
+impl Unreadable {
+    fn new(param: Option<&'static str>, message: String) -> Unreadable {
+        Unreadable { param, message }
+    }
+}
+
+/// Why a request has no answer of a server's.
+#[derive(Debug)]
+enum Failure {
+    Unreadable(Unreadable),
+    Body(BodyError),
+    Path,
+    Method,
+    Refused(Duration),
+    Deadline,
+    Failed,
+}
+
+impl Failure {
+    fn response(self) -> Response<AnswerBody> {
+        let invalid = "invalid_request_error";
+        let (status, kind, code, param, message) = match &self {
+            Failure::Unreadable(Unreadable { param, message }) => {
+                (StatusCode::BAD_REQUEST, invalid, "invalid_value", *param, message.clone())
+            }
+            Failure::Body(error) => (error.status(), invalid, "invalid_body", None, error.to_string()),
+            Failure::Path => {
+                (StatusCode::NOT_FOUND, invalid, "unknown_url", None, "there is nothing at this path".into())
+            }
+            Failure::Method => {
+                let message = "this path takes POST".to_owned();
+                (StatusCode::METHOD_NOT_ALLOWED, invalid, "method_not_supported", None, message)
+            }
+            Failure::Refused(_) => {
+                let message = "there is no room now; trying again is harmless".to_owned();
+                (StatusCode::SERVICE_UNAVAILABLE, "server_error", "overloaded", None, message)
+            }
+            Failure::Deadline => {
+                let message = "no answer had begun by the deadline".to_owned();
+                (StatusCode::GATEWAY_TIMEOUT, "server_error", "deadline_exceeded", None, message)
+            }
+            Failure::Failed => {
+                let message = "the request failed; it may have run".to_owned();
+                (StatusCode::BAD_GATEWAY, "server_error", "upstream_failed", None, message)
+            }
+        };
+        let error = json!({"error": {"message": message, "type": kind, "param": param, "code": code}});
+        let mut response = json_response(error.to_string().into());
+        *response.status_mut() = status;
+        match self {
+            Failure::Refused(pause) => {
+                let seconds = format!("{:.3}", pause.as_secs_f64());
+                if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+                    response.headers_mut().insert(RETRY_AFTER, seconds);
+                }
+            }
+            // What is left of the body is not read.
+            Failure::Body(_) => {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            _ => {}
+        }
+        response
+    }
+}
+
+fn json_response(body: Bytes) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::text(body));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+/// The front as a service.
+#[derive(Clone)]
+pub struct Inference {
+    handle: Handle,
+    setup: Rc<Setup>,
+    classes: Rc<Vec<String>>,
+    phase: watch::Receiver<Phase>,
+    /// For ids of requests whose clients gave none: the router's own name and a count.
+    own: Rc<(String, Cell<u64>)>,
+}
+
+/// What all slices of a request share.
+struct Order<'a> {
+    endpoint: &'a Endpoint,
+    name: String,
+    session: Option<String>,
+    target: String,
+    due: Instant,
+}
+
+impl Inference {
+    /// A front that hands its requests to `handle`. `seed` keeps the ids it gives apart from other routers'.
+    pub fn new(
+        handle: Handle, setup: Setup, facts: &Facts, phase: watch::Receiver<Phase>, seed: u64,
+    ) -> Inference {
+        let classes = Rc::new(facts.classes.iter().map(|c| c.name.clone()).collect());
+        Inference {
+            handle,
+            setup: Rc::new(setup),
+            classes,
+            phase,
+            own: Rc::new((format!("{seed:016x}"), Cell::new(0))),
+        }
+    }
+
+    async fn answer(self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let mut response = self.route(request).await.unwrap_or_else(Failure::response);
+        if *self.phase.borrow() >= Phase::Leaving {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    async fn route(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Failure> {
+        let (head, body) = request.into_parts();
+        let endpoint = match head.uri.path() {
+            CHAT => &self.setup.chat,
+            EMBEDDINGS => &self.setup.embeddings,
+            RERANK => &self.setup.rerank,
+            _ => return Err(Failure::Path),
+        };
+        if head.method != Method::POST {
+            return Err(Failure::Method);
+        }
+        let order = self.order(&head, endpoint)?;
+        let body = read_body(body).await.map_err(Failure::Body)?;
+        match head.uri.path() {
+            CHAT => self.chat(order, body).await,
+            path => {
+                let kind = if path == RERANK { Kind::Rerank } else { Kind::Embeddings };
+                let batch = Batch::decode(kind, &body).map_err(Failure::Unreadable)?;
+                self.batch(order, batch).await
+            }
+        }
+    }
+
+    fn order<'a>(&self, head: &Head, endpoint: &'a Endpoint) -> Result<Order<'a>, Failure> {
+        let header = |name: &'static str| {
+            let value = head.headers.get(name).map(HeaderValue::to_str).transpose();
+            value.map_err(|_| Failure::Unreadable(Unreadable::new(Some(name), "cannot be read".to_owned())))
+        };
+        let wrong = |name, text: &str| Failure::Unreadable(Unreadable::new(Some(name), text.to_owned()));
+        let name = match header("X-Request-Id")? {
+            Some(id) if is_word(id) => id.to_owned(),
+            Some(_) => return Err(wrong("X-Request-Id", "must be a plain word")),
+            None => {
+                let (own, count) = &*self.own;
+                count.set(count.get() + 1);
+                format!("{own}-{}", count.get())
+            }
+        };
+        let patience = match header("X-Deadline-Ms")?.map(str::parse::<u32>) {
+            None => Duration::from_millis(endpoint.deadline_ms.into()),
+            Some(Ok(ms)) => Duration::from_millis(ms.into()).min(PATIENCE_MOST),
+            Some(Err(_)) => return Err(wrong("X-Deadline-Ms", "must be whole milliseconds")),
+        };
+        Ok(Order {
+            endpoint,
+            name,
+            session: header("X-Key")?.map(str::to_owned),
+            target: head.uri.path_and_query().map_or(CHAT, |t| t.as_str()).to_owned(),
+            due: Instant::now() + patience,
+        })
+    }
+
+    /// What the core is asked for a part of a request.
+    fn asked(&self, order: &Order, part: usize, prompt_tokens: u64, body: Bytes) -> Asked {
+        let class = self.classes.iter().position(|c| *c == order.endpoint.class).unwrap_or(0);
+        // Each part is a request of its own to the servers, which must not take it for a repetition.
+        let name = if part == 0 { order.name.clone() } else { format!("{}.{part}", order.name) };
+        Asked {
+            name: name.into(),
+            class: ClassId(class),
+            session: order.session.clone(),
+            prefix: None,
+            patience: order.due.saturating_duration_since(Instant::now()),
+            hint: None,
+            prompt_tokens,
+            shared_tokens: 0,
+            max_tokens: 0,
+            retry: false,
+            came_back: false,
+            message: Rc::new(Message {
+                target: order.target.clone(),
+                media_type: "application/json".to_owned(),
+                body,
+            }),
+        }
+    }
+
+    async fn chat(&self, order: Order<'_>, body: Bytes) -> Result<Response<AnswerBody>, Failure> {
+        let chat = Chat::decode(&body).map_err(Failure::Unreadable)?;
+        let mut asked = self.asked(&order, 0, chat.prompt_tokens(), body);
+        asked.max_tokens = chat.max_completion_tokens.or(chat.max_tokens).unwrap_or(0);
+        asked.session = asked.session.or(chat.user);
+        let (answer, gone) = self.handle.ask(asked).answer().await;
+        let (media_type, parts) = served(answer, order.due)?;
+        let mut response = Response::new(AnswerBody::stream(parts, gone));
+        if let Ok(media_type) = HeaderValue::from_str(&media_type) {
+            response.headers_mut().insert(CONTENT_TYPE, media_type);
+        }
+        Ok(response)
+    }
+
+    /// Serves a batch slice by slice. Whatever ends one ends the batch, which has one answer.
+    async fn batch(&self, order: Order<'_>, batch: Batch) -> Result<Response<AnswerBody>, Failure> {
+        let mut answers: Vec<(Range<usize>, Bytes)> = Vec::new();
+        for (part, slice) in batch.slices(order.endpoint.slice_tokens).into_iter().enumerate() {
+            let asked = self.asked(&order, part, batch.slice_tokens(&slice), batch.body(&slice));
+            // The guard ends with the slice: a client that leaves takes back the attempt that is out.
+            let (answer, _gone) = self.handle.ask(asked).answer().await;
+            let (_, parts) = served(answer, order.due)?;
+            answers.push((slice, whole(parts).await?));
+        }
+        batch.join(answers).map(json_response).map_err(|_| Failure::Failed)
+    }
+}
+
+/// The answer of a server, or why there is none.
+fn served(answer: Answer, due: Instant) -> Result<(String, Parts), Failure> {
+    match answer {
+        Answer::Served { media_type, parts } => Ok((media_type, parts)),
+        Answer::Refused(_) | Answer::Failed if Instant::now() >= due => Err(Failure::Deadline),
+        Answer::Refused(pause) => Err(Failure::Refused(pause)),
+        Answer::Failed => Err(Failure::Failed),
+    }
+}
+
+/// All parts of an answer.
+async fn whole(mut parts: Parts) -> Result<Bytes, Failure> {
+    let mut whole = BytesMut::new();
+    while let Some(part) = std::future::poll_fn(|cx| parts.poll_next(cx)).await {
+        whole.extend_from_slice(&part.map_err(|_| Failure::Failed)?);
+        if whole.len() > ANSWER_MOST {
+            return Err(Failure::Failed);
+        }
+    }
+    Ok(whole.freeze())
+}
+
+/// What a chat request says that matters here; the rest passes unread.
+#[derive(Deserialize)]
+struct Chat {
+    #[serde(rename = "model")]
+    _model: String,
+    messages: Vec<Said>,
+    max_tokens: Option<u64>,
+    max_completion_tokens: Option<u64>,
+    user: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Said {
+    content: Option<Value>,
+}
+
+impl Chat {
+    fn decode(body: &[u8]) -> Result<Chat, Unreadable> {
+        let json = &mut serde_json::Deserializer::from_slice(body);
+        let chat: Chat = serde_path_to_error::deserialize(json).map_err(|e| {
+            let param = if e.path().to_string().starts_with("messages") { Some("messages") } else { None };
+            Unreadable::new(param, format!("{}: {}", e.path(), e.inner()))
+        })?;
+        if chat.messages.is_empty() {
+            return Err(Unreadable::new(Some("messages"), "must not be empty".to_owned()));
+        }
+        Ok(chat)
+    }
+
+    fn prompt_tokens(&self) -> u64 {
+        let text = |part: &Value| part.get("text").and_then(Value::as_str).map_or(0, text_tokens);
+        let said = |said: &Said| match &said.content {
+            Some(Value::String(words)) => text_tokens(words),
+            Some(Value::Array(parts)) => parts.iter().map(text).sum(),
+            _ => 0,
+        };
+        self.messages.iter().map(said).sum()
+    }
+}
+
+impl Service<Request<Incoming>> for Inference {
+    type Response = Response<AnswerBody>;
+    type Error = Infallible;
+    type Future = Answered;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: Request<Incoming>) -> Answered {
+        let front = self.clone();
+        Box::pin(async move { Ok(front.answer(request).await) })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn facts() -> Facts {
+        let class = |name: &str| json!({"name": name});
+        let classes = [class("chat"), class("embeddings"), class("rerank")];
+        serde_json::from_value(json!({"classes": classes, "kinds": [], "zones": []})).unwrap()
+    }
+
+    const FILE: &str = include_str!("../../../../deploy/inference.toml");
+
+    #[test]
+    fn the_operators_file_as_shipped_can_be_used() {
+        let setup = Setup::parse(FILE, &facts()).unwrap();
+        assert!(setup.listen.ip().is_loopback());
+        assert_eq!(setup.rerank.class, "rerank");
+    }
+
+    #[test]
+    fn a_wrong_file_names_its_key() {
+        for (from, to, key) in [
+            ("class = \"rerank\"", "class = \"other\"", "rerank.class"),
+            ("class = \"chat\"", "classes = \"chat\"", "chat"),
+            ("listen = \"127.0.0.1:8090\"", "listen = 3", "listen"),
+            ("slice_tokens = 4096", "slice_tokens = 0", "embeddings.slice_tokens"),
+        ] {
+            assert!(FILE.contains(from), "{from}");
+            let message = Setup::parse(&FILE.replace(from, to), &facts()).unwrap_err();
+            assert!(message.starts_with(key) && !message.contains('\n'), "{message}");
+        }
+    }
+
+    #[test]
+    fn chat_counts_its_prompt_and_names_what_is_wrong() {
+        let body = json!({"model": "m", "messages": [{"role": "user", "content": "12345678"},
+            {"role": "user", "content": [{"type": "text", "text": "1234"}]}]});
+        assert_eq!(Chat::decode(body.to_string().as_bytes()).unwrap().prompt_tokens(), 3);
+        let param = |body: Value| Chat::decode(body.to_string().as_bytes()).err().map(|e| e.param);
+        assert_eq!(param(json!({"model": "m", "messages": []})), Some(Some("messages")));
+        assert_eq!(param(json!({"model": "m", "messages": 1})), Some(Some("messages")));
+        assert_eq!(param(json!({"messages": [{}]})), Some(None));
+    }
+}
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -1,37 +1,38 @@
 //! The server side: listening, connections, and what all fronts share. A front is a tower service over hyper
 //! that decodes a request once, waits at the exchange, and encodes the answer once.
 
+pub mod inference;
 pub mod platform;
 
 use std::convert::Infallible;
 use std::future::Future;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body::{Body, Frame};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Semaphore};
+use tokio::time::timeout;
 use tower::Service;
 
 use crate::exchange::{Broken, Gone, Parts};
 use crate::shutdown::Phase;
 
 /// The most that a request's body may hold.
-pub const BODY_MOST: usize = 256 * 1024;
+const BODY_MOST: usize = 256 * 1024;
 /// How long a client may take over the head of a request, its time between requests included ...
 const HEAD_WAIT: Duration = Duration::from_secs(60);
 /// ... and over the body.
-pub const BODY_WAIT: Duration = Duration::from_secs(10);
+const BODY_WAIT: Duration = Duration::from_secs(10);
 /// After a failure to accept: descriptors may be short for a while.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -39,8 +40,17 @@
 pub enum AnswerBody {
     /// Made here.
     Text(Full<Bytes>),
-    /// A server's, with the guard that tells when its client is done.
-    Stream(Parts, #[allow(dead_code)] Gone),
+    /// A server's answer.
+    Stream(Stream),
+}
+
+/// A server's answer on its way to a client.
+pub struct Stream {
+    parts: Parts,
+    /// Tells when the client is done.
+    _gone: Gone,
+    /// It has broken off, and what came before has had its turn to be written.
+    broken: bool,
 }
 
 impl AnswerBody {
@@ -48,6 +58,28 @@
     pub fn text(text: impl Into<Bytes>) -> AnswerBody {
         AnswerBody::Text(Full::new(text.into()))
     }
+
+    /// The parts of a server's answer.
+    pub fn stream(parts: Parts, gone: Gone) -> AnswerBody {
+        AnswerBody::Stream(Stream { parts, _gone: gone, broken: false })
+    }
+}
+
+impl Stream {
+    /// An error makes hyper close the connection without the last chunk, and without what it has not written
+    /// yet. So the error waits for one turn: guards against a client that gets nothing where events have come.
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
+        if self.broken {
+            return Poll::Ready(Some(Err(Broken)));
+        }
+        let next = self.parts.poll_next(cx);
+        if let Poll::Ready(Some(Err(Broken))) = next {
+            self.broken = true;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        next
+    }
 }
 
 impl Body for AnswerBody {
@@ -57,8 +89,7 @@
     fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
         match self.get_mut() {
             AnswerBody::Text(text) => Pin::new(text).poll_frame(cx).map_err(|e| match e {}),
-            // An error makes hyper close the connection without the last chunk: the client sees it broken.
-            AnswerBody::Stream(parts, _) => parts.poll_next(cx).map_ok(Frame::data),
+            AnswerBody::Stream(stream) => stream.poll_next(cx).map_ok(Frame::data),
         }
     }
 
@@ -69,11 +100,48 @@
     fn size_hint(&self) -> http_body::SizeHint {
         match self {
             AnswerBody::Text(text) => text.size_hint(),
-            AnswerBody::Stream(..) => http_body::SizeHint::default(),
+            AnswerBody::Stream(_) => http_body::SizeHint::default(),
         }
     }
 }
 
+/// Why the body of a request was not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+enum BodyError {
+    #[error("the body holds more than {BODY_MOST} bytes")]
+    TooLong,
+    #[error("the body could not be read")]
+    Unreadable,
+    #[error("the body took too long")]
+    Slow,
+}
+
+impl BodyError {
+    fn status(self) -> StatusCode {
+        match self {
+            BodyError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            BodyError::Unreadable => StatusCode::BAD_REQUEST,
+            BodyError::Slow => StatusCode::REQUEST_TIMEOUT,
+        }
+    }
+}
+
+/// The whole body of a request, within the limits of size and time.
+async fn read_body(body: Incoming) -> Result<Bytes, BodyError> {
+    match timeout(BODY_WAIT, Limited::new(body, BODY_MOST).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyError::TooLong),
+        Ok(Err(_)) => Err(BodyError::Unreadable),
+        Err(_) => Err(BodyError::Slow),
+    }
+}
+
+/// An id goes into the path of the calls that hold and free places, so it must be a plain word.
+fn is_word(id: &str) -> bool {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.' | b'~');
+    !id.is_empty() && id.len() <= 128 && id.bytes().all(plain)
+}
+
 /// What a front's service answers with.
 pub type Answered = Pin<Box<dyn Future<Output = Result<Response<AnswerBody>, Infallible>>>>;
 
@@ -146,11 +214,6 @@
     }
 }
 
-/// Binds the address on which clients connect.
-pub async fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
-    TcpListener::bind(address).await
-}
-
 /// What the fronts need to know besides the core.
 #[derive(Clone)]
 pub struct Readiness(Rc<watch::Receiver<bool>>);
--- a/router/src/front/platform.rs
+++ b/router/src/front/platform.rs
@@ -11,13 +11,11 @@
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use http::request::Parts as Head;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use tokio::sync::watch;
-use tokio::time::timeout;
 use tower::Service;
 
-use super::{AnswerBody, Answered, Readiness, BODY_MOST, BODY_WAIT};
+use super::{is_word, read_body, AnswerBody, Answered, BodyError, Readiness};
 use crate::core::{Asked, Handle};
 use crate::exchange::{Answer, Message};
 use crate::shutdown::Phase;
@@ -60,13 +58,12 @@
 
     async fn chat(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Wrong> {
         let (head, body) = request.into_parts();
-        let body = timeout(BODY_WAIT, Limited::new(body, BODY_MOST).collect()).await;
-        let body = body.map_err(|_| Wrong::Slow)?.map_err(Wrong::of_body)?.to_bytes();
+        let body = read_body(body).await?;
         let caller = self.handle.ask(decode(&head, body, &self.classes)?);
         let (answer, gone) = caller.answer().await;
         Ok(match answer {
             Answer::Served { media_type, parts } => {
-                let mut response = Response::new(AnswerBody::Stream(parts, gone));
+                let mut response = Response::new(AnswerBody::stream(parts, gone));
                 if let Ok(media_type) = HeaderValue::from_str(&media_type) {
                     response.headers_mut().insert(CONTENT_TYPE, media_type);
                 }
@@ -118,27 +115,14 @@
     Unreadable(&'static str),
     #[error("the class {0:?} is not known")]
     Class(String),
-    #[error("the body holds more than {BODY_MOST} bytes")]
-    TooLong,
-    #[error("the body could not be read")]
-    Body,
-    #[error("the body took too long")]
-    Slow,
+    #[error(transparent)]
+    Body(#[from] BodyError),
 }
 
 impl Wrong {
-    fn of_body(error: Box<dyn std::error::Error + Send + Sync>) -> Wrong {
-        if error.is::<http_body_util::LengthLimitError>() {
-            Wrong::TooLong
-        } else {
-            Wrong::Body
-        }
-    }
-
     fn response(self) -> Response<AnswerBody> {
         let status = match self {
-            Wrong::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            Wrong::Slow => StatusCode::REQUEST_TIMEOUT,
+            Wrong::Body(error) => error.status(),
             _ => StatusCode::BAD_REQUEST,
         };
         let mut response = text(status, format!("{self}\n"));
@@ -160,11 +144,6 @@
     text.trim().parse().map_err(|_| Wrong::Unreadable(name))
 }
 
-/// An id goes into the path of the calls that hold and free places, so it must be a plain word.
-fn is_word(id: &str) -> bool {
-    id.len() <= 128 && id.bytes().all(|b| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.' | b'~'))
-}
-
 fn decode(head: &Head, body: bytes::Bytes, classes: &[String]) -> Result<Asked, Wrong> {
     let headers = &head.headers;
     let name = needed(headers, "X-Request-Id")?;
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -15,14 +15,20 @@
 pub mod upstream;
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use cranetack::ListForm;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
 
 use crate::config::Config;
 use crate::core::{Clock, Core, Handle, Happening};
+use crate::front::inference::{Inference, Setup};
+use crate::front::platform::Platform;
+use crate::peers::Peers;
+use crate::upstream::Upstream;
 
 /// Why a router cannot start.
 #[derive(Debug, thiserror::Error)]
@@ -33,7 +39,7 @@
         /// The key in the configuration.
         key: &'static str,
         /// The address.
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         /// Why.
         source: std::io::Error,
     },
@@ -46,57 +52,105 @@
 const FRESH_WAIT: Duration = Duration::from_millis(1_500);
 /// Descriptors for all but connections of clients and workers: listeners, discovery, logs and the runtime.
 const SPARE: usize = 32;
+/// Where the settings are silent.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+const IDLE_CLOSE: Duration = Duration::from_secs(15);
 
 /// Runs a router on this thread until `signal` completes and all that it has taken is answered.
-pub fn run<F>(config: Config, signal: impl FnOnce() -> F) -> Result<(), StartError>
+pub fn run<F>(config: Config, inference: Option<Setup>, signal: impl FnOnce() -> F) -> Result<(), StartError>
 where
     F: Future<Output = ()> + 'static,
 {
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(StartError::Runtime)?;
-    LocalSet::new().block_on(&runtime, async { serve(config, signal()).await })
+    LocalSet::new().block_on(&runtime, async {
+        Router::bind(config, inference).await?.serve(signal()).await;
+        Ok(())
+    })
 }
 
-/// Runs a router within a `LocalSet`.
-pub async fn serve(config: Config, signal: impl Future<Output = ()> + 'static) -> Result<(), StartError> {
-    let listen = |key, address| move |source| StartError::Listen { key, address, source };
-    let listener = front::bind(config.listen).await.map_err(listen("listen", config.listen))?;
-    let (handle, happenings) = Handle::new();
-    let peers = match config.peering {
-        Some(peering) => {
-            let address = peering.listen;
-            Some(peers::Peers::bind(peering).await.map_err(listen("peer_listen", address))?)
-        }
-        None => None,
-    };
-    if let Some(peers) = &peers {
-        spawn_local(peers.clone().receive(handle.clone()));
+/// A router that listens and does not serve yet.
+pub struct Router {
+    config: Config,
+    listener: TcpListener,
+    second: Option<(TcpListener, Setup)>,
+    peers: Option<Peers>,
+}
+
+impl Router {
+    /// Takes the addresses of the configuration; with a set-up for the second front, its address too.
+    pub async fn bind(config: Config, inference: Option<Setup>) -> Result<Router, StartError> {
+        let failed = |key, address| move |source| StartError::Listen { key, address, source };
+        let listener = TcpListener::bind(config.listen).await.map_err(failed("listen", config.listen))?;
+        let second = match inference {
+            Some(setup) => {
+                let bound = TcpListener::bind(setup.listen).await;
+                Some((bound.map_err(failed("inference listen", setup.listen))?, setup))
+            }
+            None => None,
+        };
+        let peers = match &config.peering {
+            Some(peering) => {
+                let bound = Peers::bind(peering.clone()).await;
+                Some(bound.map_err(failed("peer_listen", peering.listen))?)
+            }
+            None => None,
+        };
+        Ok(Router { config, listener, second, peers })
+    }
+
+    /// Where clients of the platform connect.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
     }
-    let phase = shutdown::phases(signal);
-    let each = (config.limits.sockets - SPARE) / 2;
-    let options = upstream::Options {
-        most_links: each,
-        connect_timeout: config.facts.allowed.connect_timeout().unwrap_or(Duration::from_millis(250)),
-        idle_close: config.facts.allowed.idle_close().unwrap_or(Duration::from_secs(15)),
-        report: config.facts.report.clone(),
-    };
-    let outbound = upstream::Upstream::new(handle.clone(), options, peers);
-    let core = Core::new(config.settings, config.seed, Clock::system(), outbound);
-    spawn_local(core.run(happenings));
-    if let Some(known) = &config.known {
-        handle.tell(Happening::Members(ListForm::Stale, known.listed(&config.facts)));
+
+    /// Where clients of the second front connect, if it is set up.
+    pub fn inference_address(&self) -> Option<std::io::Result<SocketAddr>> {
+        self.second.as_ref().map(|(listener, _)| listener.local_addr())
+    }
+
+    /// Serves until `signal` completes and all that was taken is answered. Must run within a `LocalSet`.
+    pub async fn serve(self, signal: impl Future<Output = ()> + 'static) {
+        let Router { config, listener, second, peers } = self;
+        let (handle, happenings) = Handle::new();
+        if let Some(peers) = &peers {
+            spawn_local(peers.clone().receive(handle.clone()));
+        }
+        let phase = shutdown::phases(signal);
+        let each = (config.limits.sockets - SPARE) / 2;
+        let allowed = &config.facts.allowed;
+        let options = upstream::Options {
+            most_links: each,
+            connect_timeout: allowed.connect_timeout().unwrap_or(CONNECT_TIMEOUT),
+            idle_close: allowed.idle_close().unwrap_or(IDLE_CLOSE),
+            report: config.facts.report.clone(),
+        };
+        let outbound = Upstream::new(handle.clone(), options, peers);
+        let core = Core::new(config.settings, config.seed, Clock::system(), outbound);
+        spawn_local(core.run(happenings));
+        if let Some(known) = &config.known {
+            handle.tell(Happening::Members(ListForm::Stale, known.listed(&config.facts)));
+        }
+        let (fresh_tx, fresh) = watch::channel(false);
+        let late = fresh_tx.clone();
+        spawn_local(discovery::watch(config.discovery, config.facts.clone(), handle.clone(), fresh_tx));
+        spawn_local(async move {
+            tokio::time::sleep(FRESH_WAIT).await;
+            late.send_replace(true);
+        });
+        let readiness = front::Readiness::new(fresh);
+        let platform = Platform::new(handle.clone(), &config.facts, readiness, phase.clone());
+        tracing::info!(name = config.name, listen = %config.listen, "serving");
+        // The two fronts share the connections that clients may hold.
+        let most = each / if second.is_some() { 2 } else { 1 };
+        let second = async {
+            if let Some((listener, setup)) = second {
+                tracing::info!(listen = %setup.listen, "serving embeddings and rerank beside chat");
+                let service = Inference::new(handle, setup, &config.facts, phase.clone(), config.seed);
+                front::serve(listener, service, most, phase.clone()).await;
+            }
+        };
+        tokio::join!(front::serve(listener, platform, most, phase.clone()), second);
+        tracing::info!("all that was taken has been answered");
     }
-    let (fresh_tx, fresh) = watch::channel(false);
-    let late = fresh_tx.clone();
-    spawn_local(discovery::watch(config.discovery, config.facts.clone(), handle.clone(), fresh_tx));
-    spawn_local(async move {
-        tokio::time::sleep(FRESH_WAIT).await;
-        late.send_replace(true);
-    });
-    let service =
-        front::platform::Platform::new(handle, &config.facts, front::Readiness::new(fresh), phase.clone());
-    tracing::info!(name = config.name, listen = %config.listen, "serving");
-    front::serve(listener, service, each, phase).await;
-    tracing::info!("all that was taken has been answered");
-    Ok(())
 }
--- /dev/null
+++ b/router/tests/platform.rs
@@ -0,0 +1,134 @@
+//! The platform's front on loopback, against stand-in readers and writers.
+
+mod common;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use common::{line, run, Bed, Behaviour, Client, Seen, Worker, DONE, EVENT};
+
+const CHAT: &str = "/v1/chat/completions";
+
+async fn pair(writes: Behaviour) -> (Rc<Worker>, Rc<Worker>, Bed) {
+    let reader = Worker::start(8, Behaviour::Read).await;
+    let writer = Worker::start(8, writes).await;
+    let bed = Bed::start(vec![line(&reader, "reader", "up"), line(&writer, "writer", "up")]).await;
+    (reader, writer, bed)
+}
+
+fn rooms(worker: &Worker, method: &str, id: &str) -> usize {
+    worker.seen.borrow().iter().filter(|s| **s == Seen::Room(method.to_owned(), id.to_owned())).count()
+}
+
+#[test]
+fn a_prompt_is_read_and_its_answer_written_with_a_place_asked_for() {
+    run(async {
+        let (reader, writer, bed) = pair(Behaviour::Answer).await;
+        reader.takes.set(Duration::from_millis(30));
+        let mut client = Client::connect(bed.platform).await;
+        // One connection serves request after request.
+        for id in ["a1", "a2"] {
+            let (status, headers, body) = client.ask(id, "order", 5_000).await;
+            assert_eq!((status, &headers["content-type"]), (200, &"text/event-stream".parse().unwrap()));
+            assert_eq!(body.unwrap(), format!("{EVENT}{DONE}"));
+            assert_eq!(rooms(&writer, "POST", id), 1);
+        }
+        assert_eq!((reader.began(CHAT), writer.began(CHAT)), (2, 2));
+    });
+}
+
+/// Guards against an effect that happens twice: what may have run is not sent again for an `unsafe` class,
+/// and is for a `safe` one.
+#[test]
+fn a_connection_that_breaks_after_the_last_byte_ends_an_unsafe_request() {
+    run(async {
+        let (_reader, writer, bed) = pair(Behaviour::Break).await;
+        let mut client = Client::connect(bed.platform).await;
+        let (status, _, _) = client.ask("b1", "order", 5_000).await;
+        assert_eq!((status, writer.began(CHAT)), (502, 1));
+        let (status, _, _) = client.ask("b2", "chat", 5_000).await;
+        assert_eq!((status, writer.began(CHAT)), (503, 3), "four attempts are two reads and two answers");
+    });
+}
+
+/// Guards against a broken stream that looks whole: the client's connection ends without the last chunk.
+#[test]
+fn a_broken_stream_is_passed_on_as_broken() {
+    run(async {
+        let (_reader, writer, bed) = pair(Behaviour::BreakStream).await;
+        let mut client = Client::connect(bed.platform).await;
+        let (status, _, body) = client.ask("c1", "chat", 5_000).await;
+        assert_eq!((status, body, writer.began(CHAT)), (200, None, 1));
+    });
+}
+
+/// Guards against state that stays pinned for a client that has gone: the attempt is called off, and what a
+/// read that was cut off may have left is let go.
+#[test]
+fn a_client_that_leaves_during_the_read_leaves_nothing_held() {
+    run(async {
+        let (reader, writer, bed) = pair(Behaviour::Answer).await;
+        reader.behaviour.set(Behaviour::Hang);
+        let mut client = Client::connect(bed.platform).await;
+        let asked = tokio::task::spawn_local(async move { client.ask("d1", "chat", 5_000).await.0 });
+        reader.until(|seen| seen.iter().any(|s| matches!(s, Seen::Began(..)))).await;
+        asked.abort();
+        reader.until(|seen| seen.contains(&Seen::Freed("d1".to_owned()))).await;
+        while rooms(&reader, "DELETE", "d1") + rooms(&writer, "DELETE", "d1") == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        assert_eq!(writer.began(CHAT), 0);
+    });
+}
+
+/// Guards against kept connections whose workers have died: they are noticed, and nothing is sent twice.
+#[test]
+fn connections_that_died_while_kept_are_not_used() {
+    run(async {
+        let (reader, writer, bed) = pair(Behaviour::Answer).await;
+        let mut client = Client::connect(bed.platform).await;
+        for round in 0..3 {
+            let (status, _, _) = client.ask(&format!("e{round}"), "order", 5_000).await;
+            assert_eq!(status, 200);
+            reader.cut();
+            writer.cut();
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!((reader.began(CHAT), writer.began(CHAT)), (3, 3));
+    });
+}
+
+/// Guards against a restart that loses what was taken: it is answered, and kept connections are closed.
+#[test]
+fn the_end_answers_all_that_was_taken() {
+    run(async {
+        let (reader, _writer, mut bed) = pair(Behaviour::Answer).await;
+        reader.takes.set(Duration::from_millis(1_000));
+        let mut kept = Client::connect(bed.platform).await;
+        assert_eq!(kept.get("/up").await.0, 200);
+        let mut client = Client::connect(bed.platform).await;
+        let asked = tokio::task::spawn_local(async move { client.ask("f1", "order", 5_000).await });
+        reader.until(|seen| !seen.is_empty() || reader.began(CHAT) > 0).await;
+        bed.stop.take().unwrap().send(()).unwrap();
+        // Connections still come for a while, and are served.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let (status, headers, _) = Client::connect(bed.platform).await.ask("f2", "order", 5_000).await;
+        assert_eq!((status, &headers["connection"]), (200, &"close".parse().unwrap()));
+        let (status, _, body) = asked.await.unwrap();
+        assert_eq!((status, body.is_some()), (200, true));
+        bed.stopped.await.unwrap();
+        drop(kept);
+    });
+}
+
+#[test]
+fn bad_input_is_answered_plainly() {
+    run(async {
+        let (_reader, _writer, bed) = pair(Behaviour::Answer).await;
+        let mut client = Client::connect(bed.platform).await;
+        assert_eq!(client.get("/nowhere").await.0, 404);
+        assert_eq!(client.get(CHAT).await.0, 405);
+        let (status, _, body) = client.ask("g1", "unheard-of", 5_000).await;
+        assert_eq!((status, body.unwrap()), (400, "the class \"unheard-of\" is not known\n".into()));
+    });
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -185,7 +185,7 @@
             }
             Event::Earmarked { id, held: false, .. } => self.on_refused(id),
             Event::Earmarked { .. } | Event::Peer { .. } => {}
-            Event::ClientGone(id) => self.end(id),
+            Event::ClientGone(id) => self.leave(id),
             Event::Timer(KEY_TICK) => self.on_tick(),
             Event::Timer(KEY_SUBSCRIBE) => self.subscribe(),
             Event::Timer(key) => self.on_timer(key),
@@ -543,6 +543,15 @@
         self.end(id);
     }
 
+    /// Nobody waits for the answer: what is out is called off and its state let go when its result comes.
+    fn leave(&mut self, id: RequestId) {
+        let out = self.requests.get(&id).and_then(|r| r.out).filter(|o| !o.established);
+        if let Some(out) = out.filter(|_| self.settings.cancelling) {
+            self.out.push(Action::Abort { id, attempt: out.attempt });
+        }
+        self.end(id);
+    }
+
     fn end(&mut self, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.ended = true;
