--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -5,6 +5,9 @@
 //! module and has the [`upstream`] make attempts, whose ends it is told. [`discovery`] and [`peers`] feed it
 //! news. [`run`] puts the parts together.
 
+#[cfg(test)]
+#[path = "../tests/common/mod.rs"]
+mod common;
 pub mod config;
 pub mod core;
 pub mod discovery;
@@ -14,6 +17,9 @@
 pub mod shutdown;
 pub mod upstream;
 
+#[cfg(test)]
+extern crate self as cranetack_router;
+
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/router/src/upstream/link.rs
+++ b/router/src/upstream/link.rs
@@ -161,6 +161,12 @@
         &self.meter
     }
 
+    /// Whether it has been used before.
+    #[cfg(test)]
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
     /// A kept connection may turn out to be closed before anything is written: then another one may be tried.
     pub fn was_stale(&self) -> bool {
         self.reused && self.meter.untouched()
@@ -264,6 +270,12 @@
         self.idle.borrow_mut().values_mut().for_each(|links| links.retain(keep));
     }
 
+    /// How many more connections there may be.
+    #[cfg(test)]
+    pub fn free(&self) -> usize {
+        self.places.available_permits()
+    }
+
     /// Gives up the connection that has been idle for longest.
     fn evict(&self) {
         let mut idle = self.idle.borrow_mut();
--- a/router/src/upstream/mod.rs
+++ b/router/src/upstream/mod.rs
@@ -1,6 +1,8 @@
 //! The client side: attempts, probes, and places held at workers, over connections that it owns.
 
 mod link;
+#[cfg(test)]
+mod model;
 mod reply;
 
 use std::cell::RefCell;
--- /dev/null
+++ b/router/src/upstream/model.rs
@@ -0,0 +1,158 @@
+//! A model of the connections to workers, against which random steps are checked: which are kept, which are
+//! used again, how many there are.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use tokio::time::Instant;
+
+use super::call;
+use super::link::{Link, Links};
+use crate::common::{run_paused, Behaviour, Worker};
+use crate::core::Host;
+
+const MOST: usize = 3;
+const KEEP: Duration = Duration::from_secs(5);
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Take(usize),
+    Call(usize),
+    Put(usize),
+    Close(usize),
+    /// The worker closes all of its connections.
+    Cut(usize),
+    Wait(u64),
+    Retire,
+    CloseIdle(usize),
+}
+
+/// A connection as the model has it: its worker, if that has closed it, if it has been kept, and since when.
+#[derive(Clone, Copy)]
+struct Known {
+    host: usize,
+    cut: bool,
+    kept: bool,
+    since: Instant,
+}
+
+impl Known {
+    fn usable(&self) -> bool {
+        !self.cut && self.since.elapsed() < KEEP
+    }
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..2_usize).prop_map(Step::Take),
+        2 => (0..MOST).prop_map(Step::Call),
+        3 => (0..MOST).prop_map(Step::Put),
+        1 => (0..MOST).prop_map(Step::Close),
+        1 => (0..2_usize).prop_map(Step::Cut),
+        1 => (1..4_000_u64).prop_map(Step::Wait),
+        1 => Just(Step::Retire),
+        1 => (0..2_usize).prop_map(Step::CloseIdle),
+    ]
+}
+
+struct Pair {
+    links: Links,
+    hosts: [Host; 2],
+    workers: [Rc<Worker>; 2],
+    out: Vec<(Link, Known)>,
+    idle: Vec<Known>,
+}
+
+impl Pair {
+    async fn check(&mut self, step: Step) {
+        match step {
+            Step::Take(host) => self.take(host).await,
+            Step::Call(n) if n < self.out.len() => {
+                let (link, known) = &mut self.out[n];
+                let request = call(http::Method::GET, "/metrics/load").unwrap();
+                let answer = link.send(request).await;
+                assert_eq!(answer.is_ok(), !known.cut);
+                assert_eq!(link.meter().all_out(), !known.cut, "what is closed is not written to");
+                assert_eq!(link.was_stale(), known.cut && known.kept, "only a kept one may be tried again");
+            }
+            Step::Put(n) if n < self.out.len() => {
+                let (link, known) = self.out.remove(n);
+                self.links.put(link).await;
+                if !known.cut {
+                    self.idle.push(Known { kept: true, since: Instant::now(), ..known });
+                }
+            }
+            Step::Close(n) if n < self.out.len() => self.out.remove(n).0.close().await,
+            Step::Cut(host) => {
+                self.workers[host].cut();
+                let known = self.out.iter_mut().map(|(_, k)| k).chain(&mut self.idle);
+                known.filter(|k| k.host == host).for_each(|k| k.cut = true);
+            }
+            Step::Wait(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
+            Step::Retire => {
+                self.links.retire();
+                self.idle.retain(Known::usable);
+            }
+            Step::CloseIdle(host) => {
+                self.links.close_idle(self.hosts[host].id);
+                self.idle.retain(|k| k.host != host);
+            }
+            _ => {}
+        }
+        // What has been closed on one side is noticed on the other.
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        assert_eq!(self.links.free(), MOST - self.out.len() - self.idle.len());
+    }
+
+    async fn take(&mut self, host: usize) {
+        let mut expected = None;
+        while let Some(at) = self.idle.iter().rposition(|k| k.host == host) {
+            let known = self.idle.remove(at);
+            if known.usable() {
+                expected = Some(known);
+                break;
+            }
+        }
+        let room = self.out.len() < MOST;
+        if expected.is_none() && room && self.out.len() + self.idle.len() == MOST {
+            self.idle.remove(0); // the one that has been idle for longest makes room
+        }
+        let until = Instant::now() + Duration::from_millis(100);
+        match self.links.take(&self.hosts[host], until).await {
+            Ok(link) => {
+                assert!(expected.is_some() || room, "no more than allowed");
+                assert_eq!(link.is_reused(), expected.is_some());
+                let new = Known { host, cut: false, kept: false, since: Instant::now() };
+                self.out.push((link, expected.unwrap_or(new)));
+            }
+            Err(_) => assert!(expected.is_none() && !room),
+        }
+    }
+}
+
+#[test]
+fn connections_are_as_the_model_has_them() {
+    let config = Config { cases: 150, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let checked = runner.run(&prop::collection::vec(step(), 1..40), |steps| {
+        run_paused(async {
+            let [a, b] =
+                [Worker::start(8, Behaviour::Answer).await, Worker::start(8, Behaviour::Answer).await];
+            let mut pair = Pair {
+                links: Links::new(MOST, Duration::from_millis(250), 2 * KEEP),
+                hosts: [Host::new("a", a.address), Host::new("b", b.address)],
+                workers: [a, b],
+                out: Vec::new(),
+                idle: Vec::new(),
+            };
+            for step in steps {
+                pair.check(step).await;
+            }
+        });
+        Ok(())
+    });
+    checked.unwrap();
+}
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -36,6 +36,13 @@
     LocalSet::new().block_on(&runtime, async { tokio::time::timeout(HANG, test).await.expect("it hangs") });
 }
 
+/// The same with a clock that only advances while nothing else is to be done.
+pub fn run_paused(test: impl Future<Output = ()>) {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build().unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
 /// What a worker does with a request that has its place.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Behaviour {
@@ -263,7 +270,11 @@
 
 impl Discovery {
     pub async fn start(lines: Vec<Value>) -> Rc<Discovery> {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        Discovery::start_at("127.0.0.1:0", lines).await
+    }
+
+    pub async fn start_at(address: &str, lines: Vec<Value>) -> Rc<Discovery> {
+        let listener = TcpListener::bind(address).await.unwrap();
         let (list, _) = watch::channel((1, lines));
         let discovery = Rc::new(Discovery { address: listener.local_addr().unwrap(), list });
         let here = discovery.clone();
--- /dev/null
+++ b/router/tests/core.rs
@@ -0,0 +1,236 @@
+//! The core alone, with an upstream that only notes what it is told and a clock that is set by hand.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cranetack::{
+    CellId, Class, ClassId, Effect, HostId, Kind, KindId, ListForm, Outcome, Readiness, RequestId, Settings,
+    Stage, ZoneId,
+};
+use cranetack_router::core::{
+    Asked, AttemptId, Clock, Core, Ended, Handle, Happening, Host, Listed, Order, Outbound, Place,
+};
+use cranetack_router::exchange::{self, Answer, Caller, Message};
+use tokio::sync::mpsc::UnboundedReceiver;
+
+#[derive(Debug, PartialEq)]
+enum Told {
+    Send(AttemptId, String),
+    Withdraw(AttemptId),
+    Place(String),
+    Release(String),
+}
+
+#[derive(Clone, Default)]
+struct Notes(Rc<RefCell<Vec<Told>>>);
+
+impl Notes {
+    fn note(&self, told: Told) {
+        self.0.borrow_mut().push(told);
+    }
+
+    fn take(&self) -> Vec<Told> {
+        self.0.take()
+    }
+}
+
+impl Outbound for Notes {
+    fn send(&mut self, order: Order) {
+        self.note(Told::Send(order.attempt, order.host.name.clone()));
+    }
+    fn withdraw(&mut self, attempt: AttemptId, _streaming: bool) {
+        self.note(Told::Withdraw(attempt));
+    }
+    fn place(&mut self, _reading: AttemptId, _name: Rc<str>, writer: Rc<Host>) {
+        self.note(Told::Place(writer.name.clone()));
+    }
+    fn release(&mut self, _request: RequestId, name: Rc<str>, _hosts: Vec<Rc<Host>>) {
+        self.note(Told::Release(name.to_string()));
+    }
+    fn probe(&mut self, _host: Rc<Host>) {}
+    fn close_idle(&mut self, _host: HostId) {}
+    fn publish(&mut self, _to: Option<u32>, _bytes: Vec<u8>) {}
+}
+
+struct Bench {
+    core: Core<Notes>,
+    notes: Notes,
+    handle: Handle,
+    happenings: UnboundedReceiver<Happening>,
+}
+
+fn listed(name: &str, kind: usize, readiness: Readiness) -> Listed {
+    Listed {
+        name: name.to_owned(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: ZoneId(0),
+        kind: KindId(kind),
+        cell: CellId(0),
+        readiness,
+        weight: 1.0,
+        last_start: None,
+    }
+}
+
+impl Bench {
+    fn new(effect: Effect) -> Bench {
+        let settings = Settings {
+            classes: vec![Class { effect, ..Class::default() }],
+            kinds: [Stage::Read, Stage::Write].map(|s| Kind { stage: Some(s), memory_tokens: None }).to_vec(),
+            earmarks: true,
+            cancelling: true,
+            period: Some(4_000),
+            answer_slack: Some(16_000),
+            pin_limit: Some(300_000),
+            max_attempts: Some(4),
+            ..Settings::default()
+        };
+        let (notes, (handle, happenings)) = (Notes::default(), Handle::new());
+        let mut core = Core::new(settings, 7, Clock::system(), notes.clone());
+        let lines = vec![listed("reader", 0, Readiness::Up), listed("writer", 1, Readiness::Up)];
+        core.handle(Happening::Members(ListForm::Stale, lines));
+        Bench { core, notes, handle, happenings }
+    }
+
+    fn drain(&mut self) {
+        while let Ok(happening) = self.happenings.try_recv() {
+            self.core.handle(happening);
+        }
+    }
+
+    fn ask(&mut self) -> Caller {
+        let message =
+            Message { target: "/x".to_owned(), media_type: "text/plain".to_owned(), body: "".into() };
+        let caller = self.handle.ask(Asked {
+            name: "q".into(),
+            class: ClassId(0),
+            session: None,
+            prefix: None,
+            patience: Duration::from_secs(2),
+            hint: None,
+            prompt_tokens: 100,
+            shared_tokens: 0,
+            max_tokens: 10,
+            retry: false,
+            came_back: false,
+            message: Rc::new(message),
+        });
+        self.drain();
+        caller
+    }
+
+    fn ended(&mut self, number: u32, outcome: Outcome) {
+        self.core.handle(Happening::Ended(attempt(number), Ended::from(outcome)));
+    }
+
+    /// A prompt that has been read: the attempt at the writer is out.
+    fn read(&mut self) -> Caller {
+        let caller = self.ask();
+        self.ended(0, Outcome::HalfDone);
+        assert_eq!(
+            self.notes.take(),
+            [
+                Told::Send(attempt(0), "reader".to_owned()),
+                Told::Place("writer".to_owned()),
+                Told::Send(attempt(1), "writer".to_owned())
+            ]
+        );
+        caller
+    }
+
+    fn placed(&mut self, place: Place) {
+        let host = Host::new("writer", "127.0.0.1:1".parse().unwrap()).id;
+        self.core.handle(Happening::Placed { request: RequestId(0), name: "q".into(), host, place });
+    }
+}
+
+fn attempt(number: u32) -> AttemptId {
+    AttemptId { request: RequestId(0), number }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_client_that_leaves_has_its_attempt_withdrawn_and_its_state_released_at_once() {
+    let mut bench = Bench::new(Effect::Safe);
+    let caller = bench.ask();
+    bench.notes.take();
+    drop(caller);
+    bench.drain();
+    assert_eq!(bench.notes.take(), [Told::Withdraw(attempt(0))]);
+    bench.ended(0, Outcome::Cancelled);
+    assert_eq!(bench.notes.take(), [Told::Release("q".to_owned())]);
+}
+
+/// Guards against a place that stays held: the writer's answer crossed the end of the request.
+#[tokio::test(start_paused = true)]
+async fn a_place_granted_after_the_end_is_released() {
+    for place in [Place::Held, Place::Unsure] {
+        let mut bench = Bench::new(Effect::Safe);
+        drop(bench.ask());
+        bench.drain();
+        bench.ended(0, Outcome::Cancelled);
+        bench.notes.take();
+        bench.placed(place);
+        assert_eq!(bench.notes.take(), [Told::Release("q".to_owned())]);
+    }
+    let mut bench = Bench::new(Effect::Safe);
+    let _caller = bench.ask();
+    bench.notes.take();
+    bench.placed(Place::Held);
+    assert_eq!(bench.notes.take(), [], "one that is still wanted stays");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_unsafe_request_that_may_have_run_fails_at_once_and_is_not_sent_again() {
+    let mut bench = Bench::new(Effect::Unsafe);
+    let caller = bench.read();
+    bench.ended(1, Outcome::Reset);
+    assert_eq!(bench.notes.take(), [Told::Release("q".to_owned())]);
+    assert!(matches!(caller.answer().await.0, Answer::Failed));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_unsafe_request_that_cannot_have_run_is_sent_again() {
+    let mut bench = Bench::new(Effect::Unsafe);
+    let _caller = bench.read();
+    bench.ended(1, Outcome::NoConn);
+    // The writer that failed is set aside; the state waits no longer than its limit.
+    assert_eq!(bench.notes.take(), []);
+    tokio::time::advance(Duration::from_millis(200)).await;
+    bench.core.fire();
+    assert_eq!(bench.notes.take()[0], Told::Release("q".to_owned()));
+}
+
+/// Guards against two ends of one request: what comes after the answer has begun changes nothing.
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_has_begun_is_the_only_one() {
+    let mut bench = Bench::new(Effect::Safe);
+    let caller = bench.read();
+    let (sink, parts) = exchange::stream();
+    let media_type = "text/event-stream".to_owned();
+    bench.core.handle(Happening::Established { attempt: attempt(1), media_type, parts });
+    drop(sink);
+    bench.ended(1, Outcome::Reset);
+    bench.ended(1, Outcome::Good);
+    let (answer, _gone) = caller.answer().await;
+    let Answer::Served { mut parts, .. } = answer else { panic!("{answer:?}") };
+    let broken = std::future::poll_fn(|cx| parts.poll_next(cx)).await;
+    assert_eq!(broken, Some(Err(exchange::Broken)));
+    tokio::time::advance(Duration::from_secs(3)).await;
+    bench.core.fire();
+    assert_eq!(bench.notes.take(), [], "nothing further is sent");
+}
+
+/// Guards against a wait past the deadline, and against a final answer that is held back until then: where
+/// no server takes the request the refusal comes as soon as there is no hope.
+#[tokio::test(start_paused = true)]
+async fn a_request_without_hope_is_refused_no_later_than_its_deadline() {
+    let mut bench = Bench::new(Effect::Safe);
+    let lines = vec![listed("reader", 0, Readiness::Draining), listed("writer", 1, Readiness::Gone)];
+    bench.core.handle(Happening::Members(ListForm::Patch, lines));
+    let caller = bench.ask();
+    tokio::time::advance(Duration::from_millis(2_010)).await;
+    bench.core.fire();
+    assert_eq!(bench.notes.take(), [], "nothing is sent to what drains or is gone");
+    assert!(matches!(caller.answer().await.0, Answer::Refused(_)));
+}
