Hand the module's standing to other proxies through xDS, and take tenants from LDAP

Control service: the module tells how it stands towards each server (Policy::standings, its part of the lane score and whether it would send there); router/src/control.rs asks for it, and xds/ serves it as clusters and weighted endpoints over the aggregated discovery service. Tenants: the second front takes only requests that bear a tenant's key, read from an LDAP directory. Tested against a stand-in directory, also while it refuses the router or is down. Both are off unless an operator's file under deploy/ sets them up. The program's options share one reader for such files, which names the key that is wrong.

--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -5,6 +5,7 @@
 
 use cranetack::Settings;
 use cranetack_facts::Facts;
+use serde::de::DeserializeOwned;
 use serde::Deserialize;
 
 use crate::discovery::List;
@@ -30,6 +31,26 @@
     },
 }
 
+/// Reads an operator's file and checks it. The message names the key that is wrong.
+pub fn load_toml<T: DeserializeOwned>(
+    path: &Path, check: impl FnOnce(&T) -> Result<(), String>,
+) -> Result<T, ConfigError> {
+    let shown = path.display().to_string();
+    match std::fs::read_to_string(path) {
+        Ok(text) => {
+            let read = parse_toml(&text).and_then(|file| check(&file).map(|()| file));
+            read.map_err(|message| ConfigError::Wrong { path: shown, message })
+        }
+        Err(source) => Err(ConfigError::Unreadable { path: shown, source }),
+    }
+}
+
+/// Reads an operator's file from its text.
+pub fn parse_toml<T: DeserializeOwned>(text: &str) -> Result<T, String> {
+    let toml = toml::Deserializer::parse(text).map_err(|e| format!("not TOML: {}", e.message()))?;
+    serde_path_to_error::deserialize(toml).map_err(|e| format!("{}: {}", e.path(), e.inner().message()))
+}
+
 /// What one router may use.
 #[derive(Debug, Clone, Copy, Deserialize)]
 pub struct Limits {
--- /dev/null
+++ b/router/src/control.rs
@@ -0,0 +1,132 @@
+//! The control service: how the module stands towards each server now, handed to other proxies through xDS.
+//! Off unless an operator's file sets it up. It decides nothing: it asks the core, and passes the answer on.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cranetack::{Readiness, Standing};
+use cranetack_facts::Facts;
+use cranetack_xds::{Health, Server, Snapshot};
+use serde::Deserialize;
+use tokio::sync::watch;
+
+use crate::core::{Handle, Surveyed};
+
+/// The operator's file.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Setup {
+    /// Where other proxies connect.
+    pub listen: SocketAddr,
+    /// How often the module is asked.
+    #[serde(default = "default_period")]
+    pub period_ms: u32,
+    /// In how many steps weights are given: fewer steps mean fewer updates.
+    #[serde(default = "default_steps")]
+    pub weight_steps: u32,
+}
+
+fn default_period() -> u32 {
+    500
+}
+
+fn default_steps() -> u32 {
+    20
+}
+
+impl Setup {
+    /// What is wrong with the values, in one line that names the key.
+    pub fn check(&self) -> Result<(), String> {
+        match self {
+            Setup { period_ms: 0, .. } => Err("period_ms: must be above 0".to_owned()),
+            Setup { weight_steps: 0, .. } => Err("weight_steps: must be above 0".to_owned()),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// Asks the core again and again, and shows what has changed to those who watch, until nobody does.
+pub async fn survey(handle: Handle, setup: Setup, facts: Facts, snapshots: watch::Sender<Snapshot>) {
+    let mut every = tokio::time::interval(Duration::from_millis(setup.period_ms.into()));
+    every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = every.tick() => {}
+            () = snapshots.closed() => return,
+        }
+        let Some(surveyed) = handle.survey().await else { return };
+        let now = snapshot(&surveyed, &facts, setup.weight_steps);
+        snapshots.send_if_modified(|shown| {
+            let changed = *shown != now;
+            *shown = now;
+            changed
+        });
+    }
+}
+
+/// A cluster for each kind of server, named as the settings name it.
+fn snapshot(surveyed: &[Surveyed], facts: &Facts, steps: u32) -> Snapshot {
+    let mut snapshot: Snapshot = facts.kinds.iter().map(|kind| (kind.clone(), Vec::new())).collect();
+    for Surveyed { address, member, standing } in surveyed {
+        let Standing { takes, worth, .. } = standing;
+        let health = match (member.readiness, takes) {
+            (Readiness::Gone, _) => continue,
+            (Readiness::Draining, _) => Health::Draining,
+            (Readiness::Up, false) => Health::Unhealthy,
+            (Readiness::Up, true) => Health::Healthy,
+        };
+        let name = |names: &[String], at: usize| names.get(at).cloned().unwrap_or_default();
+        let server = Server {
+            address: *address,
+            zone: name(&facts.zones, member.zone.0),
+            cell: member.cell.0.to_string(),
+            health,
+            weight: ((worth.clamp(0.0, 1.0) * f64::from(steps)).round() as u32).max(1),
+        };
+        snapshot.entry(name(&facts.kinds, member.kind.0)).or_default().push(server);
+    }
+    snapshot.values_mut().for_each(|servers| servers.sort_by_key(|s| s.address));
+    snapshot
+}
+
+#[cfg(test)]
+mod tests {
+    use cranetack::{CellId, HostId, KindId, Member, ZoneId};
+
+    use super::*;
+
+    #[test]
+    fn the_modules_standing_becomes_health_and_weight() {
+        let facts = serde_json::json!({"classes": [], "kinds": ["prefill", "decode"], "zones": ["a"]});
+        let facts: Facts = serde_json::from_value(facts).unwrap();
+        let surveyed = |port: u16, readiness, takes, worth| {
+            let host = HostId(port.into());
+            let member = Member {
+                host,
+                last_start: None,
+                kind: KindId(1),
+                readiness,
+                cell: CellId(3),
+                weight: 1.0,
+                zone: ZoneId(0),
+            };
+            Surveyed {
+                address: ([127, 0, 0, 1], port).into(),
+                member,
+                standing: Standing { host, takes, worth },
+            }
+        };
+        let all = [
+            surveyed(4, Readiness::Gone, false, 0.5),
+            surveyed(3, Readiness::Draining, false, 0.5),
+            surveyed(2, Readiness::Up, false, 0.0),
+            surveyed(1, Readiness::Up, true, 0.8),
+        ];
+        let shown = snapshot(&all, &facts, 10);
+        assert!(shown["prefill"].is_empty());
+        let servers: Vec<_> =
+            shown["decode"].iter().map(|s| (s.address.port(), s.health, s.weight)).collect();
+        assert_eq!(servers, [(1, Health::Healthy, 8), (2, Health::Unhealthy, 1), (3, Health::Draining, 5)]);
+        assert_eq!((shown["decode"][0].zone.as_str(), shown["decode"][0].cell.as_str()), ("a", "3"));
+    }
+}
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -12,9 +12,9 @@
 
 use cranetack::{
     Action, Ask, CellId, ClassId, Event, HostId, KindId, ListForm, Load, Member, Micros, Outcome, Policy,
-    PrefixId, Readiness, RequestId, SessionId, Settings, ZoneId,
+    PrefixId, Readiness, RequestId, SessionId, Settings, Standing, ZoneId,
 };
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
 use crate::exchange::{self, Answer, Caller, Carrier, Message, Parts};
@@ -218,6 +218,19 @@
     Members(ListForm, Vec<Listed>),
     /// Another router's message.
     Peer(u32, Vec<u8>),
+    /// Somebody asks how the module stands towards the servers.
+    Survey(oneshot::Sender<Vec<Surveyed>>),
+}
+
+/// A server, and how the module stands towards it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Surveyed {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its line of the list.
+    pub member: Member,
+    /// How the module stands towards it.
+    pub standing: Standing,
 }
 
 /// An attempt to be made.
@@ -309,6 +322,13 @@
         let _ = self.happenings.send(happening);
     }
 
+    /// Asks how the module stands towards the servers; `None` once the core has stopped.
+    pub async fn survey(&self) -> Option<Vec<Surveyed>> {
+        let (tx, rx) = oneshot::channel();
+        self.tell(Happening::Survey(tx));
+        rx.await.ok()
+    }
+
     /// Hands a request in.
     pub fn ask(&self, asked: Asked) -> Caller {
         let id = RequestId(self.next.get());
@@ -381,10 +401,22 @@
                 self.decide(Event::Probed { host, outcome, spent: micros(spent), load });
             }
             Happening::Members(form, listed) => self.members(form, listed),
+            Happening::Survey(asker) => {
+                let _ = asker.send(self.survey());
+            }
             Happening::Peer(from, bytes) => self.decide(Event::Peer { from, bytes }),
         }
     }
 
+    fn survey(&mut self) -> Vec<Surveyed> {
+        let standings = self.policy.standings(self.clock.now());
+        let surveyed = |standing: Standing| {
+            let address = self.hosts.get(&standing.host)?.address();
+            Some(Surveyed { address, member: *self.members.get(&standing.host)?, standing })
+        };
+        standings.into_iter().filter_map(surveyed).collect()
+    }
+
     fn asked(&mut self, id: RequestId, asked: Asked, carrier: Carrier) {
         let now = self.clock.now();
         let valid_until = now.saturating_add(micros(asked.patience));
--- a/router/src/front/inference/mod.rs
+++ b/router/src/front/inference/mod.rs
@@ -7,7 +7,6 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::ops::Range;
-use std::path::Path;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -26,10 +25,10 @@
 use tower::Service;
 
 use super::{is_word, read_body, AnswerBody, Answered, BodyError};
-use crate::config::ConfigError;
 use crate::core::{Asked, Handle};
 use crate::exchange::{Answer, Message, Parts};
 use crate::shutdown::Phase;
+use crate::tenants::{Bearer, Tenants};
 use batch::{text_tokens, Batch, Kind};
 
 const CHAT: &str = "/v1/chat/completions";
@@ -72,24 +71,10 @@
 }
 
 impl Setup {
-    /// Reads the operator's file and checks it against the settings.
-    pub fn load(path: &Path, facts: &Facts) -> Result<Setup, ConfigError> {
-        let shown = path.display().to_string();
-        match std::fs::read_to_string(path) {
-            Ok(text) => {
-                Setup::parse(&text, facts).map_err(|message| ConfigError::Wrong { path: shown, message })
-            }
-            Err(source) => Err(ConfigError::Unreadable { path: shown, source }),
-        }
-    }
-
-    /// Reads the file from its text. The message is one line that names the key that is wrong.
-    pub fn parse(text: &str, facts: &Facts) -> Result<Setup, String> {
-        let toml = toml::Deserializer::parse(text).map_err(|e| format!("not TOML: {}", e.message()))?;
-        let setup: Setup = serde_path_to_error::deserialize(toml)
-            .map_err(|e| format!("{}: {}", e.path(), e.inner().message()))?;
+    /// What is wrong with the values beside the settings, in one line that names the key.
+    pub fn check(&self, facts: &Facts) -> Result<(), String> {
         for (key, endpoint) in
-            [("chat", &setup.chat), ("embeddings", &setup.embeddings), ("rerank", &setup.rerank)]
+            [("chat", &self.chat), ("embeddings", &self.embeddings), ("rerank", &self.rerank)]
         {
             if !facts.classes.iter().any(|c| c.name == endpoint.class) {
                 return Err(format!("{key}.class: the settings have no class {:?}", endpoint.class));
@@ -101,7 +86,7 @@
                 return Err(format!("{key}.slice_tokens: must be above 0"));
             }
         }
-        Ok(setup)
+        Ok(())
     }
 }
 
@@ -125,6 +110,8 @@
     Body(BodyError),
     Path,
     Method,
+    NotATenant,
+    TenantsUnknown,
     Refused(Duration),
     Deadline,
     Failed,
@@ -145,6 +132,14 @@
                 let message = "this path takes POST".to_owned();
                 (StatusCode::METHOD_NOT_ALLOWED, invalid, "method_not_supported", None, message)
             }
+            Failure::NotATenant => {
+                let message = "the key (Authorization: Bearer KEY) is no tenant's".to_owned();
+                (StatusCode::UNAUTHORIZED, "authentication_error", "invalid_api_key", None, message)
+            }
+            Failure::TenantsUnknown => {
+                let message = "the directory of tenants has not been read yet".to_owned();
+                (StatusCode::SERVICE_UNAVAILABLE, "server_error", "tenants_unknown", None, message)
+            }
             Failure::Refused(_) => {
                 let message = "there is no room now; trying again is harmless".to_owned();
                 (StatusCode::SERVICE_UNAVAILABLE, "server_error", "overloaded", None, message)
@@ -191,6 +186,7 @@
     setup: Rc<Setup>,
     classes: Rc<Vec<String>>,
     phase: watch::Receiver<Phase>,
+    tenants: Option<Tenants>,
     /// For ids of requests whose clients gave none: the router's own name and a count.
     own: Rc<(String, Cell<u64>)>,
 }
@@ -199,15 +195,24 @@
 struct Order<'a> {
     endpoint: &'a Endpoint,
     name: String,
+    tenant: Option<Rc<str>>,
     session: Option<String>,
     target: String,
     due: Instant,
 }
 
+impl Order<'_> {
+    /// Sessions of two tenants are two, whatever their names.
+    fn own_session(&self, name: &str) -> String {
+        format!("{}/{name}", self.tenant.as_deref().unwrap_or(""))
+    }
+}
+
 impl Inference {
     /// A front that hands its requests to `handle`. `seed` keeps the ids it gives apart from other routers'.
     pub fn new(
-        handle: Handle, setup: Setup, facts: &Facts, phase: watch::Receiver<Phase>, seed: u64,
+        handle: Handle, setup: Setup, facts: &Facts, phase: watch::Receiver<Phase>, tenants: Option<Tenants>,
+        seed: u64,
     ) -> Inference {
         let classes = Rc::new(facts.classes.iter().map(|c| c.name.clone()).collect());
         Inference {
@@ -215,6 +220,7 @@
             setup: Rc::new(setup),
             classes,
             phase,
+            tenants,
             own: Rc::new((format!("{seed:016x}"), Cell::new(0))),
         }
     }
@@ -270,15 +276,29 @@
             Some(Ok(ms)) => Duration::from_millis(ms.into()).min(PATIENCE_MOST),
             Some(Err(_)) => return Err(wrong("X-Deadline-Ms", "must be whole milliseconds")),
         };
+        let tenant = self.tenant(header("authorization")?)?;
+        let session = header("X-Key")?.map(str::to_owned);
         Ok(Order {
             endpoint,
             name,
-            session: header("X-Key")?.map(str::to_owned),
+            tenant,
+            session,
             target: head.uri.path_and_query().map_or(CHAT, |t| t.as_str()).to_owned(),
             due: Instant::now() + patience,
         })
     }
 
+    /// Whose request it is, where there are tenants.
+    fn tenant(&self, authorization: Option<&str>) -> Result<Option<Rc<str>>, Failure> {
+        let Some(tenants) = &self.tenants else { return Ok(None) };
+        let key = authorization.and_then(|a| a.strip_prefix("Bearer ")).ok_or(Failure::NotATenant)?;
+        match tenants.bearer(key.trim()) {
+            Bearer::Tenant(name) => Ok(Some(name)),
+            Bearer::Unknown => Err(Failure::NotATenant),
+            Bearer::NotYet => Err(Failure::TenantsUnknown),
+        }
+    }
+
     /// What the core is asked for a part of a request.
     fn asked(&self, order: &Order, part: usize, prompt_tokens: u64, body: Bytes) -> Asked {
         let class = self.classes.iter().position(|c| *c == order.endpoint.class).unwrap_or(0);
@@ -287,7 +307,7 @@
         Asked {
             name: name.into(),
             class: ClassId(class),
-            session: order.session.clone(),
+            session: order.session.as_ref().map(|s| order.own_session(s)),
             prefix: None,
             patience: order.due.saturating_duration_since(Instant::now()),
             hint: None,
@@ -308,7 +328,7 @@
         let chat = Chat::decode(&body).map_err(Failure::Unreadable)?;
         let mut asked = self.asked(&order, 0, chat.prompt_tokens(), body);
         asked.max_tokens = chat.max_completion_tokens.or(chat.max_tokens).unwrap_or(0);
-        asked.session = asked.session.or(chat.user);
+        asked.session = asked.session.or(chat.user.map(|user| order.own_session(&user)));
         let (answer, gone) = self.handle.ask(asked).answer().await;
         let (media_type, parts) = served(answer, order.due)?;
         let mut response = Response::new(AnswerBody::stream(parts, gone));
@@ -412,6 +432,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::config::parse_toml;
 
     fn facts() -> Facts {
         let class = |name: &str| json!({"name": name});
@@ -423,7 +444,8 @@
 
     #[test]
     fn the_operators_file_as_shipped_can_be_used() {
-        let setup = Setup::parse(FILE, &facts()).unwrap();
+        let setup: Setup = parse_toml(FILE).unwrap();
+        setup.check(&facts()).unwrap();
         assert!(setup.listen.ip().is_loopback());
         assert_eq!(setup.rerank.class, "rerank");
     }
@@ -437,7 +459,8 @@
             ("slice_tokens = 4096", "slice_tokens = 0", "embeddings.slice_tokens"),
         ] {
             assert!(FILE.contains(from), "{from}");
-            let message = Setup::parse(&FILE.replace(from, to), &facts()).unwrap_err();
+            let read = parse_toml(&FILE.replace(from, to)).and_then(|s: Setup| s.check(&facts()));
+            let message = read.unwrap_err();
             assert!(message.starts_with(key) && !message.contains('\n'), "{message}");
         }
     }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -9,12 +9,14 @@
 #[path = "../tests/common/mod.rs"]
 mod common;
 pub mod config;
+pub mod control;
 pub mod core;
 pub mod discovery;
 pub mod exchange;
 pub mod front;
 pub mod peers;
 pub mod shutdown;
+pub mod tenants;
 pub mod upstream;
 
 #[cfg(test)]
@@ -31,9 +33,10 @@
 
 use crate::config::Config;
 use crate::core::{Clock, Core, Handle, Happening};
-use crate::front::inference::{Inference, Setup};
+use crate::front::inference::Inference;
 use crate::front::platform::Platform;
 use crate::peers::Peers;
+use crate::tenants::Tenants;
 use crate::upstream::Upstream;
 
 /// Why a router cannot start.
@@ -62,15 +65,28 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 const IDLE_CLOSE: Duration = Duration::from_secs(15);
 
+/// What an operator may set up beside the platform's front. All of it is off by default.
+#[derive(Default)]
+pub struct Extras {
+    /// The second front.
+    pub inference: Option<front::inference::Setup>,
+    /// Whose keys it takes; anybody's where there is none.
+    pub tenants: Option<Tenants>,
+    /// The control service.
+    pub control: Option<control::Setup>,
+}
+
 /// Runs a router on this thread until `signal` completes and all that it has taken is answered.
-pub fn run<F>(config: Config, inference: Option<Setup>, signal: impl FnOnce() -> F) -> Result<(), StartError>
+pub fn run<F>(
+    config: Config, extras: impl FnOnce() -> Extras, signal: impl FnOnce() -> F,
+) -> Result<(), StartError>
 where
     F: Future<Output = ()> + 'static,
 {
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(StartError::Runtime)?;
     LocalSet::new().block_on(&runtime, async {
-        Router::bind(config, inference).await?.serve(signal()).await;
+        Router::bind(config, extras()).await?.serve(signal()).await;
         Ok(())
     })
 }
@@ -79,22 +95,31 @@
 pub struct Router {
     config: Config,
     listener: TcpListener,
-    second: Option<(TcpListener, Setup)>,
+    second: Option<(TcpListener, front::inference::Setup)>,
+    tenants: Option<Tenants>,
+    control: Option<(TcpListener, control::Setup)>,
     peers: Option<Peers>,
 }
 
 impl Router {
-    /// Takes the addresses of the configuration; with a set-up for the second front, its address too.
-    pub async fn bind(config: Config, inference: Option<Setup>) -> Result<Router, StartError> {
+    /// Takes the addresses of the configuration, and of what else is set up.
+    pub async fn bind(config: Config, extras: Extras) -> Result<Router, StartError> {
         let failed = |key, address| move |source| StartError::Listen { key, address, source };
         let listener = TcpListener::bind(config.listen).await.map_err(failed("listen", config.listen))?;
-        let second = match inference {
+        let second = match extras.inference {
             Some(setup) => {
                 let bound = TcpListener::bind(setup.listen).await;
                 Some((bound.map_err(failed("inference listen", setup.listen))?, setup))
             }
             None => None,
         };
+        let control = match extras.control {
+            Some(setup) => {
+                let bound = TcpListener::bind(setup.listen).await;
+                Some((bound.map_err(failed("control listen", setup.listen))?, setup))
+            }
+            None => None,
+        };
         let peers = match &config.peering {
             Some(peering) => {
                 let bound = Peers::bind(peering.clone()).await;
@@ -102,7 +127,7 @@
             }
             None => None,
         };
-        Ok(Router { config, listener, second, peers })
+        Ok(Router { config, listener, second, tenants: extras.tenants, control, peers })
     }
 
     /// Where clients of the platform connect.
@@ -115,9 +140,14 @@
         self.second.as_ref().map(|(listener, _)| listener.local_addr())
     }
 
+    /// Where other proxies connect, if the control service is set up.
+    pub fn control_address(&self) -> Option<std::io::Result<SocketAddr>> {
+        self.control.as_ref().map(|(listener, _)| listener.local_addr())
+    }
+
     /// Serves until `signal` completes and all that was taken is answered. Must run within a `LocalSet`.
     pub async fn serve(self, signal: impl Future<Output = ()> + 'static) {
-        let Router { config, listener, second, peers } = self;
+        let Router { config, listener, second, tenants, control, peers } = self;
         let (handle, happenings) = Handle::new();
         if let Some(peers) = &peers {
             spawn_local(peers.clone().receive(handle.clone()));
@@ -149,14 +179,28 @@
         tracing::info!(name = config.name, listen = %config.listen, "serving");
         // The two fronts share the connections that clients may hold.
         let most = each / if second.is_some() { 2 } else { 1 };
+        let control = control.map(|(listener, setup)| {
+            tracing::info!(listen = %setup.listen, "serving other proxies through xDS");
+            let (snapshots, shown) = watch::channel(Default::default());
+            let leaving = shutdown::reached(phase.clone(), shutdown::Phase::Leaving);
+            spawn_local(control::survey(handle.clone(), setup, config.facts.clone(), snapshots));
+            spawn_local(async move {
+                if let Err(error) = cranetack_xds::serve(listener, shown, leaving).await {
+                    tracing::error!(%error, "the control service ended");
+                }
+            })
+        });
         let second = async {
             if let Some((listener, setup)) = second {
                 tracing::info!(listen = %setup.listen, "serving embeddings and rerank beside chat");
-                let service = Inference::new(handle, setup, &config.facts, phase.clone(), config.seed);
+                let service =
+                    Inference::new(handle, setup, &config.facts, phase.clone(), tenants, config.seed);
                 front::serve(listener, service, most, phase.clone()).await;
             }
         };
         tokio::join!(front::serve(listener, platform, most, phase.clone()), second);
+        // Proxies subscribe for as long as they live; nothing that was taken depends on them.
+        control.inspect(tokio::task::JoinHandle::abort);
         tracing::info!("all that was taken has been answered");
     }
 }
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -3,10 +3,9 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use clap::{Parser, Subcommand};
-use cranetack_router::config::{Config, ConfigError};
-use cranetack_router::front::inference::Setup;
-use cranetack_router::shutdown;
+use clap::{Args, Parser, Subcommand};
+use cranetack_router::config::{load_toml, Config, ConfigError};
+use cranetack_router::{control, front::inference, shutdown, tenants, Extras};
 
 /// A router for a model service whose prompts are read and answers written by different servers.
 #[derive(Parser)]
@@ -19,27 +18,54 @@
 #[derive(Subcommand)]
 enum Command {
     /// Serve clients until SIGTERM.
-    Serve {
-        /// The configuration file.
-        #[arg(long, env = "PROXY_CONFIG")]
-        config: PathBuf,
-        /// The operator's file for the front for embeddings, rerank and chat; off without it.
-        #[arg(long, env = "CRANETACK_INFERENCE")]
-        inference: Option<PathBuf>,
-    },
-    /// Read a configuration file and say whether it can be used.
-    CheckConfig {
-        /// The configuration file.
-        #[arg(env = "PROXY_CONFIG")]
-        config: PathBuf,
-        /// The operator's file for the second front, which is checked against the configuration.
-        #[arg(long)]
-        inference: Option<PathBuf>,
-    },
+    Serve(Files),
+    /// Read the files and say whether they can be used.
+    CheckConfig(Files),
     /// Print the version.
     Version,
 }
 
+#[derive(Args)]
+struct Files {
+    /// The configuration file.
+    #[arg(long, env = "PROXY_CONFIG")]
+    config: PathBuf,
+    /// Operator's file: a front for embeddings, rerank and chat.
+    #[arg(long, env = "CRANETACK_INFERENCE")]
+    inference: Option<PathBuf>,
+    /// Operator's file: whose keys that front takes, from an LDAP directory.
+    #[arg(long, env = "CRANETACK_TENANTS", requires = "inference")]
+    tenants: Option<PathBuf>,
+    /// Operator's file: the control service for other proxies.
+    #[arg(long, env = "CRANETACK_CONTROL")]
+    control: Option<PathBuf>,
+}
+
+/// The files, read and checked.
+struct Loaded {
+    config: Config,
+    inference: Option<inference::Setup>,
+    tenants: Option<tenants::Setup>,
+    control: Option<control::Setup>,
+}
+
+impl Files {
+    fn load(&self) -> Result<Loaded, ConfigError> {
+        let config = Config::load(&self.config)?;
+        let path = Option::as_deref;
+        let inference = path(&self.inference)
+            .map(|p: &Path| load_toml(p, |setup: &inference::Setup| setup.check(&config.facts)));
+        let tenants = path(&self.tenants).map(|p: &Path| load_toml(p, tenants::Setup::check));
+        let control = path(&self.control).map(|p: &Path| load_toml(p, control::Setup::check));
+        Ok(Loaded {
+            inference: inference.transpose()?,
+            tenants: tenants.transpose()?,
+            control: control.transpose()?,
+            config,
+        })
+    }
+}
+
 fn main() -> ExitCode {
     match run(Cli::parse().command) {
         Ok(()) => ExitCode::SUCCESS,
@@ -52,18 +78,25 @@
 
 fn run(command: Command) -> Result<(), Box<dyn std::error::Error>> {
     match command {
-        Command::Serve { config, inference } => {
+        Command::Serve(files) => {
             let filter = tracing_subscriber::EnvFilter::try_from_env("CRANETACK_LOG")
                 .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
             tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).init();
-            let (config, setup) = load(&config, inference.as_deref())?;
-            Ok(cranetack_router::run(config, setup, shutdown::terminated)?)
+            let Loaded { config, inference, tenants, control } = files.load()?;
+            let extras = || Extras { inference, tenants: tenants.map(tenants::Tenants::follow), control };
+            Ok(cranetack_router::run(config, extras, shutdown::terminated)?)
         }
-        Command::CheckConfig { config, inference } => {
-            let (read, setup) = load(&config, inference.as_deref())?;
-            println!("{}: {} would listen on {}", config.display(), read.name, read.listen);
-            if let Some(setup) = setup {
-                println!("embeddings, rerank and chat would be served on {}", setup.listen);
+        Command::CheckConfig(files) => {
+            let Loaded { config, inference, tenants, control } = files.load()?;
+            println!("{} would serve the platform on {}", config.name, config.listen);
+            if let Some(setup) = inference {
+                println!("embeddings, rerank and chat on {}", setup.listen);
+            }
+            if let Some(setup) = tenants {
+                println!("to the tenants of {}", setup.url);
+            }
+            if let Some(setup) = control {
+                println!("other proxies on {}", setup.listen);
             }
             Ok(())
         }
@@ -73,9 +106,3 @@
         }
     }
 }
-
-fn load(config: &Path, inference: Option<&Path>) -> Result<(Config, Option<Setup>), ConfigError> {
-    let config = Config::load(config)?;
-    let setup = inference.map(|path| Setup::load(path, &config.facts)).transpose()?;
-    Ok((config, setup))
-}
--- a/router/src/shutdown.rs
+++ b/router/src/shutdown.rs
@@ -33,6 +33,11 @@
     rx
 }
 
+/// Waits until a phase has been reached.
+pub async fn reached(mut phase: watch::Receiver<Phase>, wanted: Phase) {
+    let _ = phase.wait_for(|p| *p >= wanted).await;
+}
+
 /// Waits until the program is asked to end.
 pub async fn terminated() {
     use tokio::signal::unix::{signal, SignalKind};
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -11,9 +11,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cranetack_router::config::Config;
-use cranetack_router::front::inference::Setup;
-use cranetack_router::Router;
+use cranetack_router::config::{parse_toml, Config};
+use cranetack_router::tenants::Tenants;
+use cranetack_router::{control, Extras, Router};
 use http::{Request, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
@@ -317,6 +317,7 @@
     pub discovery: Rc<Discovery>,
     pub platform: SocketAddr,
     pub inference: SocketAddr,
+    pub control: SocketAddr,
     pub stop: Option<oneshot::Sender<()>>,
     pub stopped: tokio::task::JoinHandle<()>,
 }
@@ -340,6 +341,10 @@
 impl Bed {
     /// A router on both fronts, ready for requests.
     pub async fn start(lines: Vec<Value>) -> Bed {
+        Bed::start_with(lines, None).await
+    }
+
+    pub async fn start_with(lines: Vec<Value>, tenants: Option<Tenants>) -> Bed {
         let discovery = Discovery::start(lines).await;
         let config = json!({"name": "r0", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
             "seed": "7", "settings": settings()});
@@ -348,8 +353,11 @@
         let file = file
             .replace("127.0.0.1:8090", "127.0.0.1:0")
             .replace("slice_tokens = 2048", "slice_tokens = 256");
-        let setup = Setup::parse(&file, &config.facts).unwrap();
-        let router = Router::bind(config, Some(setup)).await.unwrap();
+        let listen = "127.0.0.1:0".parse().unwrap();
+        let control = control::Setup { listen, period_ms: 5, weight_steps: 20 };
+        let extras = Extras { inference: Some(parse_toml(&file).unwrap()), tenants, control: Some(control) };
+        let router = Router::bind(config, extras).await.unwrap();
+        let control = router.control_address().unwrap().unwrap();
         let platform = router.address().unwrap();
         let inference = router.inference_address().unwrap().unwrap();
         let (stop, stopping) = oneshot::channel::<()>();
@@ -357,7 +365,7 @@
         while Client::connect(platform).await.get("/up").await.0 != 200 {
             tokio::time::sleep(Duration::from_millis(2)).await;
         }
-        Bed { discovery, platform, inference, stop: Some(stop), stopped }
+        Bed { discovery, platform, inference, control, stop: Some(stop), stopped }
     }
 }
 
--- /dev/null
+++ b/router/tests/tenants.rs
@@ -0,0 +1,145 @@
+//! Tenants from a stand-in LDAP directory on loopback.
+
+mod common;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use common::{line, run, Bed, Behaviour, Client, Worker};
+use cranetack_router::tenants::{Setup, Tenants};
+use futures_util::{SinkExt, StreamExt};
+use http::Request;
+use ldap3_proto::proto::{LdapPartialAttribute, LdapSearchResultEntry};
+use ldap3_proto::simple::ServerOps;
+use ldap3_proto::LdapCodec;
+use serde_json::{json, Value};
+use sha2::{Digest, Sha256};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio_util::codec::Framed;
+
+/// A directory with one tenant, which may be turned off.
+struct Directory {
+    url: String,
+    keys: RefCell<Vec<String>>,
+    down: Cell<bool>,
+    searches: Cell<usize>,
+}
+
+impl Directory {
+    async fn start(keys: &[&str]) -> Rc<Directory> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let url = format!("ldap://{}", listener.local_addr().unwrap());
+        let directory = Rc::new(Directory {
+            url,
+            keys: RefCell::new(keys.iter().map(|k| (*k).to_owned()).collect()),
+            down: Cell::new(false),
+            searches: Cell::new(0),
+        });
+        let here = directory.clone();
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                if here.down.get() {
+                    continue;
+                }
+                let here = here.clone();
+                spawn_local(async move {
+                    let mut framed = Framed::new(stream, LdapCodec::default());
+                    while let Some(Ok(message)) = framed.next().await {
+                        for answer in here.answer(ServerOps::try_from(message).unwrap()) {
+                            framed.send(answer).await.unwrap();
+                        }
+                    }
+                });
+            }
+        });
+        directory
+    }
+
+    fn answer(&self, asked: ServerOps) -> Vec<ldap3_proto::LdapMsg> {
+        match asked {
+            ServerOps::SimpleBind(bind)
+                if (bind.dn.as_str(), bind.pw.as_str()) == ("cn=router", "secret") =>
+            {
+                vec![bind.gen_success()]
+            }
+            ServerOps::SimpleBind(bind) => vec![bind.gen_invalid_cred()],
+            ServerOps::Search(search) => {
+                assert_eq!(search.base, "ou=tenants");
+                self.searches.set(self.searches.get() + 1);
+                let digest = |key: &String| {
+                    Sha256::digest(key).iter().map(|b| format!("{b:02x}")).collect::<String>().into_bytes()
+                };
+                let attribute = |atype: &str, vals| LdapPartialAttribute { atype: atype.to_owned(), vals };
+                let entry = LdapSearchResultEntry {
+                    dn: "uid=boatyard,ou=tenants".to_owned(),
+                    attributes: vec![
+                        attribute("uid", vec![b"boatyard".to_vec()]),
+                        attribute("keyDigest", self.keys.borrow().iter().map(digest).collect()),
+                    ],
+                };
+                vec![search.gen_result_entry(entry), search.gen_success()]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn setup(&self, password: &str) -> Setup {
+        let file = std::env::temp_dir().join(format!("cranetack-{}-{password}", std::process::id()));
+        std::fs::write(&file, format!("{password}\n")).unwrap();
+        let setup = json!({"url": self.url, "bind_dn": "cn=router", "password_file": file, "base": "ou=tenants",
+            "key_attribute": "keydigest", "refresh_s": 1});
+        serde_json::from_value(setup).unwrap()
+    }
+}
+
+async fn embed(bed: &Bed, key: Option<&str>) -> (u16, Value) {
+    let request = Request::post("/v1/embeddings").header("host", "app");
+    let request = key.iter().fold(request, |r, key| r.header("authorization", format!("Bearer {key}")));
+    let body = json!({"model": "m", "input": "a"}).to_string().into();
+    let (status, _, body) = Client::connect(bed.inference).await.send(request.body(body).unwrap()).await;
+    (status, serde_json::from_slice(&body.unwrap()).unwrap())
+}
+
+#[test]
+fn only_a_tenants_key_is_served_and_a_directory_that_is_down_locks_nobody_out() {
+    run(async {
+        let directory = Directory::start(&["k1"]).await;
+        let worker = Worker::start(1, Behaviour::Answer).await;
+        let tenants = Tenants::follow(directory.setup("secret"));
+        let bed = Bed::start_with(vec![line(&worker, "mixed", "up")], Some(tenants)).await;
+        while embed(&bed, Some("k1")).await.0 != 200 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        for key in [None, Some("k2")] {
+            let (status, answer) = embed(&bed, key).await;
+            assert_eq!((status, &answer["error"]["code"]), (401, &json!("invalid_api_key")));
+        }
+        assert_eq!(worker.began("/v1/embeddings"), 1);
+        // A new key is known after the next reading.
+        directory.keys.borrow_mut().push("k2".to_owned());
+        while embed(&bed, Some("k2")).await.0 != 200 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        directory.down.set(true);
+        let searches = directory.searches.get();
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        assert_eq!((embed(&bed, Some("k1")).await.0, directory.searches.get()), (200, searches));
+    });
+}
+
+/// Guards against serving everybody where the directory refuses the router itself.
+#[test]
+fn nobody_is_served_before_the_directory_has_been_read() {
+    run(async {
+        let directory = Directory::start(&["k1"]).await;
+        let worker = Worker::start(1, Behaviour::Answer).await;
+        let tenants = Tenants::follow(directory.setup("wrong"));
+        let bed = Bed::start_with(vec![line(&worker, "mixed", "up")], Some(tenants)).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let (status, answer) = embed(&bed, Some("k1")).await;
+        assert_eq!((status, &answer["error"]["code"]), (503, &json!("tenants_unknown")));
+        assert_eq!((worker.began("/v1/embeddings"), directory.searches.get()), (0, 0));
+    });
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -346,6 +346,17 @@
     },
 }
 
+/// How the module stands towards a server at a time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Standing {
+    /// The server.
+    pub host: HostId,
+    /// It would be given work: it is up, warm enough, and neither set aside nor overloaded.
+    pub takes: bool,
+    /// Its part of the lane score for a request of which nothing is kept, as a share of the most there is.
+    pub worth: f64,
+}
+
 /// What the module tells the host to do, in this order.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
