Share what the two fronts do alike, and tell a silent stream from a slow one

Seen by reading: the two fronts repeated their service, their streaming answer and Retry-After; they are now one tower service over a Front trait. A stream was cut after 4 s of silence on every site and after 4 s in which a client read nothing. Silence is now 4 s only where clients ask for the rest of a broken stream, else 30 s, since a slow writer may pause for longer than 4 s and a cut stream would then be lost; a client may read nothing for 30 s. /up says 503 once the end has been announced.

--- a/router/src/front/inference/mod.rs
+++ b/router/src/front/inference/mod.rs
@@ -4,30 +4,25 @@
 mod batch;
 
 use std::cell::Cell;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use cranetack::ClassId;
 use cranetack_facts::Facts;
-use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::header::{CONNECTION, CONTENT_TYPE};
 use http::request::Parts as Head;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::Deserialize;
 use serde_json::{json, Value};
-use tokio::sync::watch;
 use tokio::time::Instant;
-use tower::Service;
 
-use super::{is_word, read_body, AnswerBody, Answered, BodyError};
+use super::{is_word, read_body, retry_after, streamed, AnswerBody, BodyError, Front};
 use crate::core::{Asked, Handle};
 use crate::exchange::{Answer, Message, Parts};
-use crate::shutdown::Phase;
 use crate::tenants::{Bearer, Tenants};
 use batch::{text_tokens, Batch, Kind};
 
@@ -157,12 +152,7 @@
         let mut response = json_response(error.to_string().into());
         *response.status_mut() = status;
         match self {
-            Failure::Refused(pause) => {
-                let seconds = format!("{:.3}", pause.as_secs_f64());
-                if let Ok(seconds) = HeaderValue::from_str(&seconds) {
-                    response.headers_mut().insert(RETRY_AFTER, seconds);
-                }
-            }
+            Failure::Refused(pause) => retry_after(&mut response, pause),
             // What is left of the body is not read.
             Failure::Body(_) => {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -185,7 +175,6 @@
     handle: Handle,
     setup: Rc<Setup>,
     classes: Rc<Vec<String>>,
-    phase: watch::Receiver<Phase>,
     tenants: Option<Tenants>,
     /// For ids of requests whose clients gave none: the router's own name and a count.
     own: Rc<(String, Cell<u64>)>,
@@ -211,28 +200,18 @@
 impl Inference {
     /// A front that hands its requests to `handle`. `seed` keeps the ids it gives apart from other routers'.
     pub fn new(
-        handle: Handle, setup: Setup, facts: &Facts, phase: watch::Receiver<Phase>, tenants: Option<Tenants>,
-        seed: u64,
+        handle: Handle, setup: Setup, facts: &Facts, tenants: Option<Tenants>, seed: u64,
     ) -> Inference {
         let classes = Rc::new(facts.classes.iter().map(|c| c.name.clone()).collect());
         Inference {
             handle,
             setup: Rc::new(setup),
             classes,
-            phase,
             tenants,
             own: Rc::new((format!("{seed:016x}"), Cell::new(0))),
         }
     }
 
-    async fn answer(self, request: Request<Incoming>) -> Response<AnswerBody> {
-        let mut response = self.route(request).await.unwrap_or_else(Failure::response);
-        if *self.phase.borrow() >= Phase::Leaving {
-            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-        }
-        response
-    }
-
     async fn route(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Failure> {
         let (head, body) = request.into_parts();
         let endpoint = match head.uri.path() {
@@ -331,11 +310,7 @@
         asked.session = asked.session.or(chat.user.map(|user| order.own_session(&user)));
         let (answer, gone) = self.handle.ask(asked).answer().await;
         let (media_type, parts) = served(answer, order.due)?;
-        let mut response = Response::new(AnswerBody::stream(parts, gone));
-        if let Ok(media_type) = HeaderValue::from_str(&media_type) {
-            response.headers_mut().insert(CONTENT_TYPE, media_type);
-        }
-        Ok(response)
+        Ok(streamed(&media_type, parts, gone))
     }
 
     /// Serves a batch slice by slice. Whatever ends one ends the batch, which has one answer.
@@ -414,18 +389,9 @@
     }
 }
 
-impl Service<Request<Incoming>> for Inference {
-    type Response = Response<AnswerBody>;
-    type Error = Infallible;
-    type Future = Answered;
-
-    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn call(&mut self, request: Request<Incoming>) -> Answered {
-        let front = self.clone();
-        Box::pin(async move { Ok(front.answer(request).await) })
+impl Front for Inference {
+    async fn answer(self, request: Request<Incoming>) -> Response<AnswerBody> {
+        self.route(request).await.unwrap_or_else(Failure::response)
     }
 }
 
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -7,12 +7,12 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::Pin;
-use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body::{Body, Frame};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -142,16 +142,64 @@
     !id.is_empty() && id.len() <= 128 && id.bytes().all(plain)
 }
 
-/// What a front's service answers with.
-pub type Answered = Pin<Box<dyn Future<Output = Result<Response<AnswerBody>, Infallible>>>>;
+/// The answer to a client that gets what a server says.
+fn streamed(media_type: &str, parts: Parts, gone: Gone) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::stream(parts, gone));
+    if let Ok(media_type) = HeaderValue::from_str(media_type) {
+        response.headers_mut().insert(CONTENT_TYPE, media_type);
+    }
+    response
+}
+
+/// Tells a client that is refused when to come back, where there is advice.
+fn retry_after(response: &mut Response<AnswerBody>, pause: Duration) {
+    if let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", pause.as_secs_f64())) {
+        if !pause.is_zero() {
+            response.headers_mut().insert(RETRY_AFTER, seconds);
+        }
+    }
+}
+
+/// A front: what becomes of one request.
+pub trait Front: Clone + 'static {
+    /// Answers a request.
+    fn answer(self, request: Request<Incoming>) -> impl Future<Output = Response<AnswerBody>>;
+}
+
+/// A front as a tower service.
+#[derive(Clone)]
+struct Serving<F> {
+    front: F,
+    phase: watch::Receiver<Phase>,
+}
+
+impl<F: Front> Service<Request<Incoming>> for Serving<F> {
+    type Response = Response<AnswerBody>;
+    type Error = Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Response<AnswerBody>, Infallible>>>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: Request<Incoming>) -> Self::Future {
+        let Serving { front, phase } = self.clone();
+        Box::pin(async move {
+            let mut response = front.answer(request).await;
+            // A client that is told now asks elsewhere next, and its connection needs no closing later.
+            if *phase.borrow() >= Phase::Leaving {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok(response)
+        })
+    }
+}
 
 /// Listens, and serves each connection until `phase` says that the end has come and all is answered.
-pub async fn serve<S>(listener: TcpListener, service: S, most: usize, mut phase: watch::Receiver<Phase>)
-where
-    S: Service<Request<Incoming>, Response = Response<AnswerBody>, Error = Infallible, Future = Answered>
-        + Clone
-        + 'static,
-{
+pub async fn serve<F: Front>(
+    listener: TcpListener, front: F, most: usize, mut phase: watch::Receiver<Phase>,
+) {
+    let service = Serving { front, phase: phase.clone() };
     let places = std::sync::Arc::new(Semaphore::new(most));
     let mut connections = tokio::task::JoinSet::new();
     loop {
@@ -189,12 +237,7 @@
     }
 }
 
-async fn connection<S>(stream: TcpStream, service: S, mut phase: watch::Receiver<Phase>)
-where
-    S: Service<Request<Incoming>, Response = Response<AnswerBody>, Error = Infallible, Future = Answered>
-        + Clone
-        + 'static,
-{
+async fn connection<F: Front>(stream: TcpStream, service: Serving<F>, mut phase: watch::Receiver<Phase>) {
     let _ = stream.set_nodelay(true);
     let service = TowerToHyperService::new(service);
     let served = http1::Builder::new()
@@ -214,18 +257,21 @@
     }
 }
 
-/// What the fronts need to know besides the core.
+/// Whether the router should be sent clients: the list of workers has come, and the end has not.
 #[derive(Clone)]
-pub struct Readiness(Rc<watch::Receiver<bool>>);
+pub struct Readiness {
+    fresh: watch::Receiver<bool>,
+    phase: watch::Receiver<Phase>,
+}
 
 impl Readiness {
-    /// Ready once this says so.
-    pub fn new(fresh: watch::Receiver<bool>) -> Readiness {
-        Readiness(Rc::new(fresh))
+    /// Ready once `fresh` says so, until the phase changes.
+    pub fn new(fresh: watch::Receiver<bool>, phase: watch::Receiver<Phase>) -> Readiness {
+        Readiness { fresh, phase }
     }
 
-    /// Whether the list of workers has come.
+    /// Whether it is.
     pub fn is_ready(&self) -> bool {
-        *self.0.borrow()
+        *self.fresh.borrow() && *self.phase.borrow() == Phase::Serving
     }
 }
--- a/router/src/front/platform.rs
+++ b/router/src/front/platform.rs
@@ -1,24 +1,19 @@
 //! The platform's front: chat completions, described by headers, whose bodies pass unread.
 
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::str::FromStr;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use cranetack::ClassId;
 use cranetack_facts::Facts;
-use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::header::{CONNECTION, CONTENT_TYPE};
 use http::request::Parts as Head;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use tokio::sync::watch;
-use tower::Service;
 
-use super::{is_word, read_body, AnswerBody, Answered, BodyError, Readiness};
+use super::{is_word, read_body, retry_after, streamed, AnswerBody, BodyError, Front, Readiness};
 use crate::core::{Asked, Handle};
 use crate::exchange::{Answer, Message};
-use crate::shutdown::Phase;
 
 const CHAT: &str = "/v1/chat/completions";
 const UP: &str = "/up";
@@ -29,31 +24,13 @@
     handle: Handle,
     classes: Rc<Vec<String>>,
     readiness: Readiness,
-    phase: watch::Receiver<Phase>,
 }
 
 impl Platform {
     /// A front that hands its requests to `handle`.
-    pub fn new(
-        handle: Handle, facts: &Facts, readiness: Readiness, phase: watch::Receiver<Phase>,
-    ) -> Platform {
+    pub fn new(handle: Handle, facts: &Facts, readiness: Readiness) -> Platform {
         let classes = Rc::new(facts.classes.iter().map(|c| c.name.clone()).collect());
-        Platform { handle, classes, readiness, phase }
-    }
-
-    async fn answer(self, request: Request<Incoming>) -> Response<AnswerBody> {
-        let mut response = match (request.method(), request.uri().path()) {
-            (&Method::GET, UP) if self.readiness.is_ready() => text(StatusCode::OK, "ready\n"),
-            (&Method::GET, UP) => text(StatusCode::SERVICE_UNAVAILABLE, "not ready yet\n"),
-            (&Method::POST, CHAT) => self.chat(request).await.unwrap_or_else(Wrong::response),
-            (_, UP | CHAT) => text(StatusCode::METHOD_NOT_ALLOWED, "this method is not served here\n"),
-            _ => text(StatusCode::NOT_FOUND, "there is nothing at this path\n"),
-        };
-        // A client that is told now asks elsewhere next, and its connection needs no closing later.
-        if *self.phase.borrow() >= Phase::Leaving {
-            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-        }
-        response
+        Platform { handle, classes, readiness }
     }
 
     async fn chat(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Wrong> {
@@ -62,21 +39,10 @@
         let caller = self.handle.ask(decode(&head, body, &self.classes)?);
         let (answer, gone) = caller.answer().await;
         Ok(match answer {
-            Answer::Served { media_type, parts } => {
-                let mut response = Response::new(AnswerBody::stream(parts, gone));
-                if let Ok(media_type) = HeaderValue::from_str(&media_type) {
-                    response.headers_mut().insert(CONTENT_TYPE, media_type);
-                }
-                response
-            }
+            Answer::Served { media_type, parts } => streamed(&media_type, parts, gone),
             Answer::Refused(pause) => {
                 let mut response = text(StatusCode::SERVICE_UNAVAILABLE, "refused: there is no room now\n");
-                if !pause.is_zero() {
-                    let seconds = format!("{:.3}", pause.as_secs_f64());
-                    if let Ok(seconds) = HeaderValue::from_str(&seconds) {
-                        response.headers_mut().insert(RETRY_AFTER, seconds);
-                    }
-                }
+                retry_after(&mut response, pause);
                 response
             }
             Answer::Failed => text(StatusCode::BAD_GATEWAY, "failed: it may have run\n"),
@@ -84,18 +50,15 @@
     }
 }
 
-impl Service<Request<Incoming>> for Platform {
-    type Response = Response<AnswerBody>;
-    type Error = Infallible;
-    type Future = Answered;
-
-    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn call(&mut self, request: Request<Incoming>) -> Answered {
-        let front = self.clone();
-        Box::pin(async move { Ok(front.answer(request).await) })
+impl Front for Platform {
+    async fn answer(self, request: Request<Incoming>) -> Response<AnswerBody> {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, UP) if self.readiness.is_ready() => text(StatusCode::OK, "ready\n"),
+            (&Method::GET, UP) => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            (&Method::POST, CHAT) => self.chat(request).await.unwrap_or_else(Wrong::response),
+            (_, UP | CHAT) => text(StatusCode::METHOD_NOT_ALLOWED, "this method is not served here\n"),
+            _ => text(StatusCode::NOT_FOUND, "there is nothing at this path\n"),
+        }
     }
 }
 
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -61,6 +61,10 @@
 const FRESH_WAIT: Duration = Duration::from_millis(1_500);
 /// Descriptors for all but connections of clients and workers: listeners, discovery, logs and the runtime.
 const SPARE: usize = 32;
+/// How long a stream may be silent before it counts as broken: a machine that has vanished says nothing. Where
+/// clients ask for the rest, breaking it early lets them; where not, it is lost, so only one that is surely dead.
+const SILENCE_RESUMED: Duration = Duration::from_secs(4);
+const SILENCE: Duration = Duration::from_secs(30);
 /// Where the settings are silent.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 const IDLE_CLOSE: Duration = Duration::from_secs(15);
@@ -159,6 +163,7 @@
             most_links: each,
             connect_timeout: allowed.connect_timeout().unwrap_or(CONNECT_TIMEOUT),
             idle_close: allowed.idle_close().unwrap_or(IDLE_CLOSE),
+            silence: if config.settings.resume { SILENCE_RESUMED } else { SILENCE },
             report: config.facts.report.clone(),
         };
         let outbound = Upstream::new(handle.clone(), options, peers);
@@ -174,8 +179,8 @@
             tokio::time::sleep(FRESH_WAIT).await;
             late.send_replace(true);
         });
-        let readiness = front::Readiness::new(fresh);
-        let platform = Platform::new(handle.clone(), &config.facts, readiness, phase.clone());
+        let readiness = front::Readiness::new(fresh, phase.clone());
+        let platform = Platform::new(handle.clone(), &config.facts, readiness);
         tracing::info!(name = config.name, listen = %config.listen, "serving");
         // The two fronts share the connections that clients may hold.
         let most = each / if second.is_some() { 2 } else { 1 };
@@ -193,8 +198,7 @@
         let second = async {
             if let Some((listener, setup)) = second {
                 tracing::info!(listen = %setup.listen, "serving embeddings and rerank beside chat");
-                let service =
-                    Inference::new(handle, setup, &config.facts, phase.clone(), tenants, config.seed);
+                let service = Inference::new(handle, setup, &config.facts, tenants, config.seed);
                 front::serve(listener, service, most, phase.clone()).await;
             }
         };
--- a/router/src/upstream/mod.rs
+++ b/router/src/upstream/mod.rs
@@ -28,8 +28,8 @@
 
 /// The most of an answer that is held at once; streams are not held.
 const BODY_MOST: usize = 64 * 1024;
-/// How long a stream may be silent: servers pause for less, and a machine that vanished says nothing.
-const SILENCE: Duration = Duration::from_secs(4);
+/// How long a client may read nothing of what waits for it.
+const UNREAD: Duration = Duration::from_secs(30);
 /// How long a writer may take to answer a request for a place.
 const PLACE_WAIT: Duration = Duration::from_secs(1);
 /// How long one server may take to let go before another is asked ...
@@ -48,6 +48,8 @@
     pub connect_timeout: Duration,
     /// When workers close an idle connection.
     pub idle_close: Duration,
+    /// How long a stream may be silent.
+    pub silence: Duration,
     /// The names of the figures in load reports.
     pub report: Report,
 }
@@ -220,7 +222,7 @@
         let attempt = self.order.attempt;
         self.shared.handle.tell(Happening::Established { attempt, media_type, parts });
         let pumped = tokio::select! {
-            pumped = pump(&mut body, first, sink) => pumped,
+            pumped = pump(&mut body, first, sink, self.shared.options.silence) => pumped,
             Ok(()) = &mut self.broken_off => Err(Outcome::Cancelled),
         };
         match pumped {
@@ -236,17 +238,17 @@
 }
 
 /// Passes a stream on, unchanged and as it comes, to its end.
-async fn pump(body: &mut Incoming, first: Bytes, sink: Sink) -> Result<Tail, Outcome> {
+async fn pump(body: &mut Incoming, first: Bytes, sink: Sink, silence: Duration) -> Result<Tail, Outcome> {
     let mut tail = Tail::default();
     let mut data = Some(first);
     loop {
         if let Some(data) = data.take() {
             tail.push(&data);
-            let pushed = timeout(SILENCE, sink.push(data)).await;
+            let pushed = timeout(UNREAD, sink.push(data)).await;
             pushed.map_err(|_| Outcome::Cancelled)?.map_err(|_| Outcome::Cancelled)?;
         }
         tokio::select! {
-            frame = timeout(SILENCE, body.frame()) => match frame {
+            frame = timeout(silence, body.frame()) => match frame {
                 Ok(Some(Ok(frame))) => data = frame.into_data().ok(),
                 Ok(None) => break,
                 Ok(Some(Err(_))) | Err(_) => return Err(Outcome::Reset),
