Guard the whole core against a panic, and follow the list across broken connections in a test

The guard stood round the module alone; a panic in the core's own steps would have ended its task, after which every request failed. Now each step is guarded: what is open is answered as failed, its attempts are withdrawn and its state let go, and the module begins anew.

--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -361,16 +361,16 @@
     /// Runs until all handles are gone.
     pub async fn run(mut self, mut happenings: mpsc::UnboundedReceiver<Happening>) {
         // The module's first timer is among the actions of its first event.
-        self.decide(Event::Members { form: ListForm::Patch, members: Vec::new() });
+        self.guarded(|core| core.decide(Event::Members { form: ListForm::Patch, members: Vec::new() }));
         loop {
             let wake = self.timers.peek().map_or(i64::MAX, |Reverse((at, _))| *at);
             let wake = self.clock.instant(wake.min(self.clock.now() + 1_000_000));
             tokio::select! {
                 happening = happenings.recv() => match happening {
-                    Some(happening) => self.handle(happening),
+                    Some(happening) => self.guarded(|core| core.handle(happening)),
                     None => return,
                 },
-                () = tokio::time::sleep_until(wake) => self.fire(),
+                () = tokio::time::sleep_until(wake) => self.guarded(Self::fire),
             }
         }
     }
@@ -529,26 +529,24 @@
             let touched = request_of(&event);
             let now = self.clock.now();
             let mut actions = Vec::new();
-            let policy = AssertUnwindSafe(&mut self.policy);
-            let handled = catch_unwind(|| {
-                let policy = policy;
-                policy.0.handle(now, event, &mut actions);
-                actions
-            });
-            match handled {
-                Ok(actions) => actions.into_iter().for_each(|action| self.carry_out(action)),
-                Err(_) => self.start_over(),
-            }
+            self.policy.handle(now, event, &mut actions);
+            actions.into_iter().for_each(|action| self.carry_out(action));
             if let Some(id) = touched {
                 self.forget(id);
             }
         }
     }
 
-    /// A panic in the module must not lose the process: it begins anew with the list as it is, and what it
-    /// held is answered as failed, since it may have run.
+    /// Takes a step. A panic, in the module or beside it, must not lose the process.
+    fn guarded(&mut self, step: impl FnOnce(&mut Self)) {
+        if catch_unwind(AssertUnwindSafe(|| step(self))).is_err() {
+            self.start_over();
+        }
+    }
+
+    /// The module begins anew with the list as it is. What was open is answered as failed: it may have run.
     fn start_over(&mut self) {
-        tracing::error!("the decision module failed and starts anew");
+        tracing::error!("a decision failed: the module starts anew");
         let now = self.clock.now();
         self.policy = Policy::new(self.settings.clone(), self.seed ^ now as u64, now);
         self.timers.clear();
@@ -563,7 +561,7 @@
             self.forget(id);
         }
         let members = self.members.values().copied().collect();
-        self.due.push_back(Event::Members { form: ListForm::Whole, members });
+        self.decide(Event::Members { form: ListForm::Whole, members });
     }
 
     fn carry_out(&mut self, action: Action) {
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -259,6 +259,7 @@
 pub struct Discovery {
     pub address: SocketAddr,
     list: watch::Sender<(u64, Vec<Value>)>,
+    connections: RefCell<Vec<AbortHandle>>,
 }
 
 /// A line of the list.
@@ -276,16 +277,21 @@
     pub async fn start_at(address: &str, lines: Vec<Value>) -> Rc<Discovery> {
         let listener = TcpListener::bind(address).await.unwrap();
         let (list, _) = watch::channel((1, lines));
-        let discovery = Rc::new(Discovery { address: listener.local_addr().unwrap(), list });
+        let discovery = Rc::new(Discovery {
+            address: listener.local_addr().unwrap(),
+            list,
+            connections: RefCell::default(),
+        });
         let here = discovery.clone();
         spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let here = here.clone();
-                spawn_local(async move {
-                    let service = service_fn(|request| here.clone().serve(request));
+                let discovery = here.clone();
+                let connection = spawn_local(async move {
+                    let service = service_fn(|request| discovery.clone().serve(request));
                     let io = TokioIo::new(stream);
                     let _ = hyper::server::conn::http1::Builder::new().serve_connection(io, service).await;
                 });
+                here.connections.borrow_mut().push(connection.abort_handle());
             }
         });
         discovery
@@ -306,6 +312,11 @@
         Ok(whole(StatusCode::OK, list.to_string().into()))
     }
 
+    /// Closes all connections at once.
+    pub fn cut(&self) {
+        self.connections.borrow_mut().drain(..).for_each(|c| c.abort());
+    }
+
     /// Publishes a new list.
     pub fn publish(&self, lines: Vec<Value>) {
         self.list.send_modify(|(index, list)| (*index, *list) = (*index + 1, lines));
--- a/router/tests/core.rs
+++ b/router/tests/core.rs
@@ -1,6 +1,6 @@
 //! The core alone, with an upstream that only notes what it is told and a clock that is set by hand.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,7 +23,7 @@
 }
 
 #[derive(Clone, Default)]
-struct Notes(Rc<RefCell<Vec<Told>>>);
+struct Notes(Rc<RefCell<Vec<Told>>>, Rc<Cell<bool>>);
 
 impl Notes {
     fn note(&self, told: Told) {
@@ -37,6 +37,7 @@
 
 impl Outbound for Notes {
     fn send(&mut self, order: Order) {
+        assert!(!self.1.take(), "a panic on purpose");
         self.note(Told::Send(order.attempt, order.host.name.clone()));
     }
     fn withdraw(&mut self, attempt: AttemptId, _streaming: bool) {
@@ -100,22 +101,7 @@
     }
 
     fn ask(&mut self) -> Caller {
-        let message =
-            Message { target: "/x".to_owned(), media_type: "text/plain".to_owned(), body: "".into() };
-        let caller = self.handle.ask(Asked {
-            name: "q".into(),
-            class: ClassId(0),
-            session: None,
-            prefix: None,
-            patience: Duration::from_secs(2),
-            hint: None,
-            prompt_tokens: 100,
-            shared_tokens: 0,
-            max_tokens: 10,
-            retry: false,
-            came_back: false,
-            message: Rc::new(message),
-        });
+        let caller = hand_in(&self.handle);
         self.drain();
         caller
     }
@@ -145,6 +131,24 @@
     }
 }
 
+fn hand_in(handle: &Handle) -> Caller {
+    let message = Message { target: "/x".to_owned(), media_type: "text/plain".to_owned(), body: "".into() };
+    handle.ask(Asked {
+        name: "q".into(),
+        class: ClassId(0),
+        session: None,
+        prefix: None,
+        patience: Duration::from_secs(2),
+        hint: None,
+        prompt_tokens: 100,
+        shared_tokens: 0,
+        max_tokens: 10,
+        retry: false,
+        came_back: false,
+        message: Rc::new(message),
+    })
+}
+
 fn attempt(number: u32) -> AttemptId {
     AttemptId { request: RequestId(0), number }
 }
@@ -221,6 +225,27 @@
     assert_eq!(bench.notes.take(), [], "nothing further is sent");
 }
 
+/// Guards against a panic that loses the process: what is open fails, and what comes next is served.
+#[tokio::test(start_paused = true)]
+async fn a_panic_fails_what_is_open_and_the_next_request_is_served() {
+    let bench = Bench::new(Effect::Safe);
+    bench.notes.1.set(true);
+    let first = hand_in(&bench.handle);
+    let Bench { core, notes, handle, happenings } = bench;
+    let serving = async {
+        assert!(matches!(first.answer().await.0, Answer::Failed));
+        assert_eq!(notes.take(), [Told::Withdraw(attempt(0)), Told::Release("q".to_owned())]);
+        let _second = hand_in(&handle);
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        let sent = |told: &Told| matches!(told, Told::Send(_, host) if host == "reader");
+        assert!(notes.take().iter().any(sent));
+    };
+    tokio::select! {
+        () = core.run(happenings) => panic!("the core ends with its handles"),
+        () = serving => {}
+    }
+}
+
 /// Guards against a wait past the deadline, and against a final answer that is held back until then: where
 /// no server takes the request the refusal comes as soon as there is no hope.
 #[tokio::test(start_paused = true)]
--- a/router/tests/platform.rs
+++ b/router/tests/platform.rs
@@ -146,6 +146,27 @@
     });
 }
 
+/// Guards against a list that goes stale after its connection broke: what drains is known soon after.
+#[test]
+fn the_list_is_followed_across_a_broken_connection() {
+    run(async {
+        let (reader, writer, bed) = pair(Behaviour::Answer).await;
+        let other = Worker::start(8, Behaviour::Answer).await;
+        bed.discovery.cut();
+        bed.discovery.publish(vec![
+            line(&reader, "reader", "up"),
+            line(&writer, "writer", "draining"),
+            line(&other, "writer", "up"),
+        ]);
+        tokio::time::sleep(Duration::from_millis(250)).await;
+        let mut client = Client::connect(bed.platform).await;
+        for n in 0..3 {
+            assert_eq!(client.ask(&format!("i{n}"), "order", 5_000).await.0, 200);
+        }
+        assert_eq!((writer.began(CHAT), other.began(CHAT)), (0, 3));
+    });
+}
+
 #[test]
 fn bad_input_is_answered_plainly() {
     run(async {
