Bound what clients can make the router hold

Seen by reading, against 192 MB: 496 connections of clients could each hold a body of 256 KiB and hyper's read buffer, which grows to some 400 KB, over 300 MB in all. Clients' connections are now bounded by 384 and read buffers by 64 KiB, which makes 120 MB at the worst. The end of a stream that its client does not read no longer waits without a limit. Test: connections past the limit wait their turn.

--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -29,6 +29,8 @@
 
 /// The most that a request's body may hold.
 const BODY_MOST: usize = 256 * 1024;
+/// The most that is read ahead on a connection, and so the longest head of a request.
+const BUFFER_MOST: usize = 64 * 1024;
 /// How long a client may take over the head of a request, its time between requests included ...
 const HEAD_WAIT: Duration = Duration::from_secs(60);
 /// ... and over the body.
@@ -243,6 +245,7 @@
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_WAIT)
+        .max_buf_size(BUFFER_MOST)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(served);
     let ended = tokio::select! {
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -61,6 +61,8 @@
 const FRESH_WAIT: Duration = Duration::from_millis(1_500);
 /// Descriptors for all but connections of clients and workers: listeners, discovery, logs and the runtime.
 const SPARE: usize = 32;
+/// Clients' connections at most, whatever the descriptors: each may hold a body of 256 KiB, and a buffer.
+const CLIENTS_MOST: usize = 384;
 /// How long a stream may be silent before it counts as broken: a machine that has vanished says nothing. Where
 /// clients ask for the rest, breaking it early lets them; where not, it is lost, so only one that is surely dead.
 const SILENCE_RESUMED: Duration = Duration::from_secs(4);
@@ -183,7 +185,7 @@
         let platform = Platform::new(handle.clone(), &config.facts, readiness);
         tracing::info!(name = config.name, listen = %config.listen, "serving");
         // The two fronts share the connections that clients may hold.
-        let most = each / if second.is_some() { 2 } else { 1 };
+        let most = each.min(CLIENTS_MOST) / if second.is_some() { 2 } else { 1 };
         let control = control.map(|(listener, setup)| {
             tracing::info!(listen = %setup.listen, "serving other proxies through xDS");
             let (snapshots, shown) = watch::channel(Default::default());
--- a/router/src/upstream/mod.rs
+++ b/router/src/upstream/mod.rs
@@ -257,7 +257,7 @@
         }
     }
     // Whoever leaves at the very end has had all of it.
-    let _ = sink.end().await;
+    let _ = timeout(UNREAD, sink.end()).await;
     Ok(tail)
 }
 
--- a/router/tests/platform.rs
+++ b/router/tests/platform.rs
@@ -167,6 +167,27 @@
     });
 }
 
+/// Guards against clients that use up descriptors and memory: past the limit they wait their turn.
+#[test]
+fn connections_of_clients_are_bounded() {
+    run(async {
+        let (_reader, _writer, bed) = pair(Behaviour::Answer).await;
+        // 64 descriptors less 32 are shared by workers and clients, and theirs by two fronts.
+        let mut held = Vec::new();
+        for _ in 0..8 {
+            let mut client = Client::connect(bed.platform).await;
+            assert_eq!(client.get("/up").await.0, 200);
+            held.push(client);
+        }
+        let mut client = Client::connect(bed.platform).await;
+        let waits = tokio::task::spawn_local(async move { client.get("/up").await.0 });
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        assert!(!waits.is_finished());
+        held.pop();
+        assert_eq!(waits.await.unwrap(), 200);
+    });
+}
+
 #[test]
 fn bad_input_is_answered_plainly() {
     run(async {
