Handle SIGHUP: read the file again and follow discovery to its new address

Now config::follow reads the file at each hangup and discovery::watch is handed an address that may change: a change cuts off a watch that hangs, and begins anew with the whole list, since versions there may not continue the old ones. A bad file is logged with its key and changes nothing.

--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -1,4 +1,4 @@
-//! What a router is told at its start: the configuration file, and the environment beside it.
+//! What a router is told: the configuration file, at its start and again at each hangup.
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -7,6 +7,7 @@
 use cranetack_facts::Facts;
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
+use tokio::sync::watch;
 
 use crate::discovery::List;
 
@@ -97,6 +98,27 @@
     pub all: Option<SocketAddr>,
 }
 
+/// Reads the file again at each hangup, for as long as anybody wants to know where discovery answers. Nothing
+/// else of it takes effect before the next start. Guards against a bad file that costs a running router what it
+/// has: then all stays as it was.
+pub async fn follow(
+    path: &Path, mut hangup: impl AsyncFnMut() -> Option<()>, discovery: watch::Sender<SocketAddr>,
+) {
+    loop {
+        tokio::select! {
+            heard = hangup() => if heard.is_none() { return },
+            () = discovery.closed() => return,
+        }
+        match Config::load(path) {
+            Ok(config) => {
+                tracing::info!(discovery = %config.discovery, "the configuration has been read again");
+                discovery.send_replace(config.discovery);
+            }
+            Err(error) => tracing::error!(%error, "the configuration stays as it was"),
+        }
+    }
+}
+
 /// All that a router is told.
 pub struct Config {
     /// Its name.
@@ -162,3 +184,47 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use serde_json::json;
+    use tokio::sync::mpsc;
+
+    use super::*;
+    use crate::common::{run, settings};
+
+    /// Guards against a bad file that takes effect, or that ends the following of later good ones.
+    #[test]
+    fn a_hangup_brings_a_new_address_and_a_bad_file_changes_nothing() {
+        run(async {
+            let path = std::env::temp_dir().join(format!("cranetack-config-{}.json", std::process::id()));
+            let write = |discovery: &str| {
+                let file = json!({"name": "r0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "7",
+                    "settings": settings()});
+                std::fs::write(&path, file.to_string()).unwrap();
+            };
+            let (tx, mut address) = watch::channel(([127, 0, 0, 1], 1).into());
+            let (hangup, mut hangups) = mpsc::channel(1);
+            let followed = follow(&path, async || hangups.recv().await, tx);
+            let steps = async {
+                write("127.0.0.1:2");
+                hangup.send(()).await.unwrap();
+                address.changed().await.unwrap();
+                assert_eq!(address.borrow_and_update().port(), 2);
+                write("nowhere");
+                // Once the third is taken the second has been dealt with.
+                for _ in 0..3 {
+                    hangup.send(()).await.unwrap();
+                }
+                assert!(!address.has_changed().unwrap());
+                write("127.0.0.1:3");
+                hangup.send(()).await.unwrap();
+                address.changed().await.unwrap();
+                assert_eq!(address.borrow().port(), 3);
+                drop(hangup);
+            };
+            tokio::join!(followed, steps);
+            std::fs::remove_file(&path).unwrap();
+        });
+    }
+}
--- a/router/src/discovery.rs
+++ b/router/src/discovery.rs
@@ -100,8 +100,28 @@
     }
 }
 
-/// Watches the list at `address` for as long as the program runs. `fresh` becomes true with the first answer.
-pub async fn watch(address: SocketAddr, facts: Facts, handle: Handle, fresh: watch::Sender<bool>) {
+/// Watches the list at an address that may change, for as long as the program runs. `fresh` becomes true with
+/// the first answer. A new address begins anew with the whole list: its versions may not continue the old ones.
+/// Guards against an old address that hangs while a new one is known: the change cuts its watch off.
+pub async fn watch(
+    mut address: watch::Receiver<SocketAddr>, facts: Facts, handle: Handle, fresh: watch::Sender<bool>,
+) {
+    loop {
+        let at = *address.borrow_and_update();
+        let moved = async {
+            if address.wait_for(|now| *now != at).await.is_err() {
+                std::future::pending::<()>().await; // nobody can change it any more
+            }
+        };
+        tokio::select! {
+            () = moved => tracing::info!("discovery has moved"),
+            () = follow(at, &facts, &handle, &fresh) => {}
+        }
+    }
+}
+
+/// Watches the list at one address, over one connection after another.
+async fn follow(address: SocketAddr, facts: &Facts, handle: &Handle, fresh: &watch::Sender<bool>) {
     let mut index = None;
     loop {
         match connect(address).await {
@@ -111,7 +131,7 @@
                     let form = if list.snapshot { ListForm::Whole } else { ListForm::Patch };
                     // Every answer continues the watch; only those with news concern the core.
                     if list.snapshot || !list.endpoints.is_empty() {
-                        handle.tell(Happening::Members(form, list.listed(&facts)));
+                        handle.tell(Happening::Members(form, list.listed(facts)));
                     }
                     fresh.send_replace(true);
                 }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -80,6 +80,8 @@
     pub tenants: Option<Tenants>,
     /// The control service.
     pub control: Option<control::Setup>,
+    /// Where discovery answers from now on, if that may change while the router runs.
+    pub discovery: Option<watch::Receiver<SocketAddr>>,
 }
 
 /// Runs a router on this thread until `signal` completes and all that it has taken is answered.
@@ -104,6 +106,7 @@
     second: Option<(TcpListener, front::inference::Setup)>,
     tenants: Option<Tenants>,
     control: Option<(TcpListener, control::Setup)>,
+    discovery: watch::Receiver<SocketAddr>,
     peers: Option<Peers>,
 }
 
@@ -133,7 +136,8 @@
             }
             None => None,
         };
-        Ok(Router { config, listener, second, tenants: extras.tenants, control, peers })
+        let discovery = extras.discovery.unwrap_or_else(|| watch::channel(config.discovery).1);
+        Ok(Router { config, listener, second, tenants: extras.tenants, control, discovery, peers })
     }
 
     /// Where clients of the platform connect.
@@ -153,7 +157,7 @@
 
     /// Serves until `signal` completes and all that was taken is answered. Must run within a `LocalSet`.
     pub async fn serve(self, signal: impl Future<Output = ()> + 'static) {
-        let Router { config, listener, second, tenants, control, peers } = self;
+        let Router { config, listener, second, tenants, control, discovery, peers } = self;
         let (handle, happenings) = Handle::new();
         if let Some(peers) = &peers {
             spawn_local(peers.clone().receive(handle.clone()));
@@ -176,7 +180,7 @@
         }
         let (fresh_tx, fresh) = watch::channel(false);
         let late = fresh_tx.clone();
-        spawn_local(discovery::watch(config.discovery, config.facts.clone(), handle.clone(), fresh_tx));
+        spawn_local(discovery::watch(discovery, config.facts.clone(), handle.clone(), fresh_tx));
         spawn_local(async move {
             tokio::time::sleep(FRESH_WAIT).await;
             late.send_replace(true);
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -1,11 +1,13 @@
 //! The router's command line.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand};
-use cranetack_router::config::{load_toml, Config, ConfigError};
+use cranetack_router::config::{self, load_toml, Config, ConfigError};
 use cranetack_router::{control, front::inference, shutdown, tenants, Extras};
+use tokio::sync::watch;
 
 /// A router for a model service whose prompts are read and answers written by different servers.
 #[derive(Parser)]
@@ -66,6 +68,20 @@
     }
 }
 
+/// Where discovery answers, by the configuration as it is read again at each SIGHUP. To be called on the runtime.
+fn follow(path: PathBuf, first: SocketAddr) -> impl FnOnce() -> watch::Receiver<SocketAddr> {
+    move || {
+        let (address, changes) = watch::channel(first);
+        match shutdown::hangups() {
+            Ok(mut hangups) => drop(tokio::task::spawn_local(async move {
+                config::follow(&path, async || hangups.recv().await, address).await;
+            })),
+            Err(error) => tracing::error!(%error, "SIGHUP cannot be heard"),
+        }
+        changes
+    }
+}
+
 fn main() -> ExitCode {
     match run(Cli::parse().command) {
         Ok(()) => ExitCode::SUCCESS,
@@ -83,7 +99,11 @@
                 .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
             tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).init();
             let Loaded { config, inference, tenants, control } = files.load()?;
-            let extras = || Extras { inference, tenants: tenants.map(tenants::Tenants::follow), control };
+            let discovery = follow(files.config, config.discovery);
+            let extras = || {
+                let tenants = tenants.map(tenants::Tenants::follow);
+                Extras { inference, tenants, control, discovery: Some(discovery()) }
+            };
             Ok(cranetack_router::run(config, extras, shutdown::terminated)?)
         }
         Command::CheckConfig(files) => {
--- a/router/src/shutdown.rs
+++ b/router/src/shutdown.rs
@@ -1,4 +1,4 @@
-//! The end of the program: on SIGTERM new connections are taken for a span, then kept ones are closed between
+//! Signals, and the end of the program: on SIGTERM new connections are taken for a span, then kept ones are closed between
 //! requests, and the program ends when all that it has taken is answered.
 
 use std::time::Duration;
@@ -52,3 +52,8 @@
         _ => std::future::pending().await,
     }
 }
+
+/// Where hangups (SIGHUP) come out from now on. Without a handler the first would end the program.
+pub fn hangups() -> std::io::Result<tokio::signal::unix::Signal> {
+    tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup())
+}
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -258,7 +258,10 @@
 /// A stand-in for discovery, whose list a test may change.
 pub struct Discovery {
     pub address: SocketAddr,
+    /// Watches are not answered any more.
+    pub silent: Cell<bool>,
     list: watch::Sender<(u64, Vec<Value>)>,
+    whole_asked: Notify,
     connections: RefCell<Vec<AbortHandle>>,
 }
 
@@ -279,7 +282,9 @@
         let (list, _) = watch::channel((1, lines));
         let discovery = Rc::new(Discovery {
             address: listener.local_addr().unwrap(),
+            silent: Cell::default(),
             list,
+            whole_asked: Notify::new(),
             connections: RefCell::default(),
         });
         let here = discovery.clone();
@@ -304,6 +309,11 @@
             let mut list = self.list.subscribe();
             let newer = list.wait_for(|(index, _): &(u64, _)| *index > from);
             let _ = tokio::time::timeout(Duration::from_millis(500), newer).await;
+            if self.silent.get() {
+                std::future::pending::<()>().await;
+            }
+        } else {
+            self.whole_asked.notify_one();
         }
         let (index, lines) = self.list.borrow().clone();
         let news = from.is_none_or(|from| index > from);
@@ -312,6 +322,11 @@
         Ok(whole(StatusCode::OK, list.to_string().into()))
     }
 
+    /// Waits until the whole list has been asked for since the last such wait.
+    pub async fn asked(&self) {
+        self.whole_asked.notified().await;
+    }
+
     /// Closes all connections at once.
     pub fn cut(&self) {
         self.connections.borrow_mut().drain(..).for_each(|c| c.abort());
@@ -326,6 +341,8 @@
 /// A router under test.
 pub struct Bed {
     pub discovery: Rc<Discovery>,
+    /// Tells the router that discovery has moved.
+    pub moves: watch::Sender<SocketAddr>,
     pub platform: SocketAddr,
     pub inference: SocketAddr,
     pub control: SocketAddr,
@@ -366,7 +383,9 @@
             .replace("slice_tokens = 2048", "slice_tokens = 256");
         let listen = "127.0.0.1:0".parse().unwrap();
         let control = control::Setup { listen, period_ms: 5, weight_steps: 20 };
-        let extras = Extras { inference: Some(parse_toml(&file).unwrap()), tenants, control: Some(control) };
+        let (moves, moved) = watch::channel(discovery.address);
+        let inference = Some(parse_toml(&file).unwrap());
+        let extras = Extras { inference, tenants, control: Some(control), discovery: Some(moved) };
         let router = Router::bind(config, extras).await.unwrap();
         let control = router.control_address().unwrap().unwrap();
         let platform = router.address().unwrap();
@@ -376,7 +395,7 @@
         while Client::connect(platform).await.get("/up").await.0 != 200 {
             tokio::time::sleep(Duration::from_millis(2)).await;
         }
-        Bed { discovery, platform, inference, control, stop: Some(stop), stopped }
+        Bed { discovery, moves, platform, inference, control, stop: Some(stop), stopped }
     }
 }
 
--- a/router/tests/platform.rs
+++ b/router/tests/platform.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use common::{line, run, Bed, Behaviour, Client, Seen, Worker, DONE, EVENT};
+use common::{line, run, Bed, Behaviour, Client, Discovery, Seen, Worker, DONE, EVENT};
 
 const CHAT: &str = "/v1/chat/completions";
 
@@ -167,6 +167,30 @@
     });
 }
 
+/// Guards against a list that stays with an address that is no longer discovery's: the new one is followed
+/// though the old one's watch hangs and the versions there do not continue the old ones.
+#[test]
+fn the_list_is_followed_to_a_new_address() {
+    run(async {
+        let (reader, writer, bed) = pair(Behaviour::Answer).await;
+        let other = Worker::start(8, Behaviour::Answer).await;
+        for _ in 0..5 {
+            bed.discovery.publish(vec![line(&reader, "reader", "up"), line(&writer, "writer", "up")]);
+        }
+        bed.discovery.silent.set(true);
+        let lines = |status| vec![line(&reader, "reader", "up"), line(&other, "writer", status)];
+        let new = Discovery::start(lines("draining")).await;
+        bed.moves.send_replace(new.address);
+        let mut client = Client::connect(bed.platform).await;
+        // The list is taken whole: of its writers none is up, and the old ones are gone.
+        while client.ask("j0", "chat", 200).await.0 == 200 {}
+        let before = writer.began(CHAT);
+        new.publish(lines("up"));
+        let (status, ..) = client.ask("j1", "order", 5_000).await;
+        assert_eq!((status, writer.began(CHAT) - before, other.began(CHAT)), (200, 0, 1));
+    });
+}
+
 /// Guards against clients that use up descriptors and memory: past the limit they wait their turn.
 #[test]
 fn connections_of_clients_are_bounded() {
