Close clients' connections that ask for nothing, and make room where there is none

Bad clients: 478 of 768 descriptors, worst answers at their deadlines. At fault: front/mod.rs waited 60 s for a head, idle spans included, and 10 s for a body, and accept waited for a place.

Now a connection has a seat (front/seat.rs): awaited or coming requests are closed 2 s after the connection's start or the request's first byte, kept ones after 60 s; where no seat is free the one longest without a request makes room. One whose request is being answered keeps its seat. All of a request is due within 2.5 s, and a body that says that it is too long is refused before it comes. front/framing.rs follows heads and lengths where bytes come in, since hyper drops a length behind an encoding unseen: a request with both is refused and its connection ends; an encoded request is its connection's last. The id of an open request is refused with 409: what servers hold is held by id.

Checked: each new test fails without its part.

--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -418,6 +418,11 @@
     }
 
     fn asked(&mut self, id: RequestId, asked: Asked, carrier: Carrier) {
+        // What servers hold is held by the id on the wire, so two requests must not share one.
+        if self.requests.values().any(|r| r.asked.name == asked.name) {
+            carrier.answer(Answer::Taken);
+            return;
+        }
         let now = self.clock.now();
         let valid_until = now.saturating_add(micros(asked.patience));
         let ask = Ask {
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -37,6 +37,8 @@
     Refused(Duration),
     /// Failed: it may have run.
     Failed,
+    /// Not taken: another request with its id is open.
+    Taken,
 }
 
 /// The answer broke off: what has come is not whole.
--- a/router/src/front/inference/mod.rs
+++ b/router/src/front/inference/mod.rs
@@ -15,12 +15,11 @@
 use http::header::{CONNECTION, CONTENT_TYPE};
 use http::request::Parts as Head;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
-use hyper::body::Incoming;
 use serde::Deserialize;
 use serde_json::{json, Value};
 use tokio::time::Instant;
 
-use super::{is_word, read_body, retry_after, streamed, AnswerBody, BodyError, Front};
+use super::{is_word, retry_after, streamed, AnswerBody, Arriving, BodyError, Front};
 use crate::core::{Asked, Handle};
 use crate::exchange::{Answer, Message, Parts};
 use crate::tenants::{Bearer, Tenants};
@@ -110,6 +109,7 @@
     Refused(Duration),
     Deadline,
     Failed,
+    Taken,
 }
 
 impl Failure {
@@ -147,6 +147,10 @@
                 let message = "the request failed; it may have run".to_owned();
                 (StatusCode::BAD_GATEWAY, "server_error", "upstream_failed", None, message)
             }
+            Failure::Taken => {
+                let message = "another request with this id is open".to_owned();
+                (StatusCode::CONFLICT, invalid, "id_in_use", Some("X-Request-Id"), message)
+            }
         };
         let error = json!({"error": {"message": message, "type": kind, "param": param, "code": code}});
         let mut response = json_response(error.to_string().into());
@@ -212,7 +216,7 @@
         }
     }
 
-    async fn route(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Failure> {
+    async fn route(&self, request: Request<Arriving>) -> Result<Response<AnswerBody>, Failure> {
         let (head, body) = request.into_parts();
         let endpoint = match head.uri.path() {
             CHAT => &self.setup.chat,
@@ -224,7 +228,7 @@
             return Err(Failure::Method);
         }
         let order = self.order(&head, endpoint)?;
-        let body = read_body(body).await.map_err(Failure::Body)?;
+        let body = body.whole().await.map_err(Failure::Body)?;
         match head.uri.path() {
             CHAT => self.chat(order, body).await,
             path => {
@@ -334,6 +338,7 @@
         Answer::Refused(_) | Answer::Failed if Instant::now() >= due => Err(Failure::Deadline),
         Answer::Refused(pause) => Err(Failure::Refused(pause)),
         Answer::Failed => Err(Failure::Failed),
+        Answer::Taken => Err(Failure::Taken),
     }
 }
 
@@ -390,7 +395,7 @@
 }
 
 impl Front for Inference {
-    async fn answer(self, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn answer(self, request: Request<Arriving>) -> Response<AnswerBody> {
         self.route(request).await.unwrap_or_else(Failure::response)
     }
 }
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -1,12 +1,15 @@
 //! The server side: listening, connections, and what all fronts share. A front is a tower service over hyper
 //! that decodes a request once, waits at the exchange, and encodes the answer once.
 
+mod framing;
 pub mod inference;
 pub mod platform;
+mod seat;
 
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -17,27 +20,51 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, Semaphore};
-use tokio::time::timeout;
+use tokio::sync::watch;
+use tokio::time::{timeout_at, Instant};
 use tower::Service;
 
 use crate::exchange::{Broken, Gone, Parts};
 use crate::shutdown::Phase;
+use seat::{Desk, Open, Seat, Seats};
 
 /// The most that a request's body may hold.
 const BODY_MOST: usize = 256 * 1024;
 /// The most that is read ahead on a connection, and so the longest head of a request.
 const BUFFER_MOST: usize = 64 * 1024;
-/// How long a client may take over the head of a request, its time between requests included ...
-const HEAD_WAIT: Duration = Duration::from_secs(60);
-/// ... and over the body.
-const BODY_WAIT: Duration = Duration::from_secs(10);
+/// Between two looks for connections that are due.
+const SWEEP_EVERY: Duration = Duration::from_millis(100);
 /// After a failure to accept: descriptors may be short for a while.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
+/// The body of an answer, which holds its request open.
+pub struct Answering {
+    body: AnswerBody,
+    _open: Open,
+}
+
+impl Body for Answering {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// The body of an answer.
 pub enum AnswerBody {
     /// Made here.
@@ -114,27 +141,45 @@
     TooLong,
     #[error("the body could not be read")]
     Unreadable,
-    #[error("the body took too long")]
+    #[error("the request took too long")]
     Slow,
+    #[error("the request has both a length and an encoding")]
+    Ambiguous,
 }
 
 impl BodyError {
     fn status(self) -> StatusCode {
         match self {
             BodyError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            BodyError::Unreadable => StatusCode::BAD_REQUEST,
+            BodyError::Unreadable | BodyError::Ambiguous => StatusCode::BAD_REQUEST,
             BodyError::Slow => StatusCode::REQUEST_TIMEOUT,
         }
     }
 }
 
-/// The whole body of a request, within the limits of size and time.
-async fn read_body(body: Incoming) -> Result<Bytes, BodyError> {
-    match timeout(BODY_WAIT, Limited::new(body, BODY_MOST).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyError::TooLong),
-        Ok(Err(_)) => Err(BodyError::Unreadable),
-        Err(_) => Err(BodyError::Slow),
+/// The body of a request on its way.
+pub struct Arriving {
+    body: Incoming,
+    due: Instant,
+    ambiguous: bool,
+}
+
+impl Arriving {
+    /// The whole body, within the limits of size and time.
+    async fn whole(self) -> Result<Bytes, BodyError> {
+        if self.ambiguous {
+            return Err(BodyError::Ambiguous);
+        }
+        // One that says that it is too long need not come first.
+        if self.body.size_hint().lower() > BODY_MOST as u64 {
+            return Err(BodyError::TooLong);
+        }
+        match timeout_at(self.due, Limited::new(self.body, BODY_MOST).collect()).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyError::TooLong),
+            Ok(Err(_)) => Err(BodyError::Unreadable),
+            Err(_) => Err(BodyError::Slow),
+        }
     }
 }
 
@@ -165,34 +210,37 @@
 /// A front: what becomes of one request.
 pub trait Front: Clone + 'static {
     /// Answers a request.
-    fn answer(self, request: Request<Incoming>) -> impl Future<Output = Response<AnswerBody>>;
+    fn answer(self, request: Request<Arriving>) -> impl Future<Output = Response<AnswerBody>>;
 }
 
-/// A front as a tower service.
+/// A front as a tower service on one connection.
 #[derive(Clone)]
 struct Serving<F> {
     front: F,
     phase: watch::Receiver<Phase>,
+    desk: Desk,
 }
 
 impl<F: Front> Service<Request<Incoming>> for Serving<F> {
-    type Response = Response<AnswerBody>;
+    type Response = Response<Answering>;
     type Error = Infallible;
-    type Future = Pin<Box<dyn Future<Output = Result<Response<AnswerBody>, Infallible>>>>;
+    type Future = Pin<Box<dyn Future<Output = Result<Response<Answering>, Infallible>>>>;
 
     fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
         Poll::Ready(Ok(()))
     }
 
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
-        let Serving { front, phase } = self.clone();
+        let Serving { front, phase, desk } = self.clone();
         Box::pin(async move {
-            let mut response = front.answer(request).await;
+            let open = desk.open();
+            let (due, ambiguous) = (open.due(), desk.is_ambiguous());
+            let mut response = front.answer(request.map(|body| Arriving { body, due, ambiguous })).await;
             // A client that is told now asks elsewhere next, and its connection needs no closing later.
-            if *phase.borrow() >= Phase::Leaving {
+            if *phase.borrow() >= Phase::Leaving || desk.is_last() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok(response)
+            Ok(response.map(|body| Answering { body, _open: open }))
         })
     }
 }
@@ -201,36 +249,42 @@
 pub async fn serve<F: Front>(
     listener: TcpListener, front: F, most: usize, mut phase: watch::Receiver<Phase>,
 ) {
-    let service = Serving { front, phase: phase.clone() };
-    let places = std::sync::Arc::new(Semaphore::new(most));
+    let seats = Seats::new(most);
     let mut connections = tokio::task::JoinSet::new();
-    loop {
-        let accepted = tokio::select! {
-            biased;
-            _ = phase.wait_for(|p| *p >= Phase::Finishing) => break,
-            accepted = accept(&listener, &places) => accepted,
-        };
-        while connections.try_join_next().is_some() {}
-        let (stream, place) = accepted;
-        let (service, phase) = (service.clone(), phase.clone());
-        connections.spawn_local(async move {
-            connection(stream, service, phase).await;
-            drop(place);
-        });
+    let accepting = async {
+        loop {
+            let stream = tokio::select! {
+                biased;
+                _ = phase.wait_for(|p| *p >= Phase::Finishing) => break,
+                accepted = accept(&listener, &seats) => accepted,
+            };
+            while connections.try_join_next().is_some() {}
+            let (stream, seat) = stream;
+            let service = Serving { front: front.clone(), phase: phase.clone(), desk: seat.desk() };
+            connections.spawn_local(connection(stream, seat, service, phase.clone()));
+        }
+        drop(listener);
+        while connections.join_next().await.is_some() {}
+    };
+    let sweeping = async {
+        loop {
+            tokio::time::sleep(SWEEP_EVERY).await;
+            seats.sweep();
+        }
+    };
+    tokio::select! {
+        () = accepting => {}
+        () = sweeping => {}
     }
-    drop(listener);
-    while connections.join_next().await.is_some() {}
 }
 
 /// The next connection, once there is a place for it: the rest wait in the system's queue. A failure, such
 /// as descriptors running out, must not end the listening.
-async fn accept(
-    listener: &TcpListener, places: &std::sync::Arc<Semaphore>,
-) -> (TcpStream, Option<tokio::sync::OwnedSemaphorePermit>) {
-    let place = places.clone().acquire_owned().await.ok();
+async fn accept(listener: &TcpListener, seats: &Rc<Seats>) -> (TcpStream, Seat) {
+    let place = seats.place().await;
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => return (stream, place),
+            Ok((stream, _)) => return (stream, seats.take(place)),
             Err(error) => {
                 tracing::warn!(%error, "a connection could not be accepted");
                 tokio::time::sleep(ACCEPT_AGAIN).await;
@@ -239,20 +293,28 @@
     }
 }
 
-async fn connection<F: Front>(stream: TcpStream, service: Serving<F>, mut phase: watch::Receiver<Phase>) {
+async fn connection<F: Front>(
+    stream: TcpStream, seat: Seat, service: Serving<F>, mut phase: watch::Receiver<Phase>,
+) {
     let _ = stream.set_nodelay(true);
-    let service = TowerToHyperService::new(service);
+    // How long a client may take is the seat's affair.
     let served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_WAIT)
+        .header_read_timeout(None)
         .max_buf_size(BUFFER_MOST)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(seat.watch(stream)), TowerToHyperService::new(service));
     tokio::pin!(served);
+    // A connection that is to be closed reads nothing more: what it would take now would be lost.
     let ended = tokio::select! {
+        biased;
+        () = seat.closed() => return,
         ended = &mut served => ended,
         _ = phase.wait_for(|p| *p >= Phase::Finishing) => {
             served.as_mut().graceful_shutdown();
-            served.await
+            tokio::select! {
+                biased;
+                () = seat.closed() => return,
+                ended = served => ended,
+            }
         }
     };
     if let Err(error) = ended {
--- a/router/src/front/platform.rs
+++ b/router/src/front/platform.rs
@@ -9,9 +9,8 @@
 use http::header::{CONNECTION, CONTENT_TYPE};
 use http::request::Parts as Head;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
-use hyper::body::Incoming;
 
-use super::{is_word, read_body, retry_after, streamed, AnswerBody, BodyError, Front, Readiness};
+use super::{is_word, retry_after, streamed, AnswerBody, Arriving, BodyError, Front, Readiness};
 use crate::core::{Asked, Handle};
 use crate::exchange::{Answer, Message};
 
@@ -33,9 +32,9 @@
         Platform { handle, classes, readiness }
     }
 
-    async fn chat(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Wrong> {
+    async fn chat(&self, request: Request<Arriving>) -> Result<Response<AnswerBody>, Wrong> {
         let (head, body) = request.into_parts();
-        let body = read_body(body).await?;
+        let body = body.whole().await?;
         let caller = self.handle.ask(decode(&head, body, &self.classes)?);
         let (answer, gone) = caller.answer().await;
         Ok(match answer {
@@ -46,12 +45,13 @@
                 response
             }
             Answer::Failed => text(StatusCode::BAD_GATEWAY, "failed: it may have run\n"),
+            Answer::Taken => text(StatusCode::CONFLICT, "another request with this id is open\n"),
         })
     }
 }
 
 impl Front for Platform {
-    async fn answer(self, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn answer(self, request: Request<Arriving>) -> Response<AnswerBody> {
         match (request.method(), request.uri().path()) {
             (&Method::GET, UP) if self.readiness.is_ready() => text(StatusCode::OK, "ready\n"),
             (&Method::GET, UP) => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
--- /dev/null
+++ b/router/src/front/seat.rs
@@ -0,0 +1,247 @@
+//! The connections that clients hold. A [`Seat`] is one connection's place among the limit, given back when it
+//! is dropped; [`Seats`] ends those that are due, and makes room where all are taken.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::time::Instant;
+
+use super::framing::Framing;
+
+/// How long a client may take over the head of a request, from the connection's start or its first byte ...
+pub const HEAD_WAIT: Duration = Duration::from_millis(2_000);
+/// ... and over all of the request.
+pub const REQUEST_WAIT: Duration = Duration::from_millis(2_500);
+/// How long a connection is kept without a request, while there is room.
+const KEPT_WAIT: Duration = Duration::from_secs(60);
+/// How long a client may read nothing of an answer that waits for it.
+const BLOCKED_WAIT: Duration = Duration::from_secs(30);
+/// For how long a connection is safe from making room: its request may be on its way.
+const SAFE_FOR: Duration = Duration::from_millis(50);
+/// Between two tries to make room.
+const AGAIN: Duration = Duration::from_millis(20);
+/// By how much a client that has not asked counts as idle for longer than one whose request was answered.
+const SILENT_BIAS: Duration = Duration::from_secs(5);
+
+#[derive(Clone, Copy)]
+enum State {
+    /// A request is awaited or coming, since the connection's start or the request's first byte.
+    Coming(Instant),
+    /// A request is being answered.
+    Open,
+    /// All is answered.
+    Kept(Instant),
+}
+
+/// What is known of a connection.
+struct Known {
+    state: Cell<State>,
+    /// Since when the client has read nothing of what waits for it.
+    blocked: Cell<Option<Instant>>,
+    framing: RefCell<Framing>,
+    close: Notify,
+}
+
+impl Known {
+    /// When the connection is to be closed; `None` while a request is being answered.
+    fn due(&self) -> Option<Instant> {
+        match (self.state.get(), self.blocked.get()) {
+            (State::Open, _) => None,
+            (_, Some(since)) => Some(since + BLOCKED_WAIT),
+            (State::Coming(since), _) => Some(since + HEAD_WAIT),
+            (State::Kept(since), _) => Some(since + KEPT_WAIT),
+        }
+    }
+
+    /// For how long it has been of no use, if it may be closed to make room.
+    fn idle(&self, now: Instant) -> Option<Duration> {
+        let (since, bias) = match self.state.get() {
+            State::Open => return None,
+            State::Coming(since) => (since, SILENT_BIAS),
+            State::Kept(since) => (since, Duration::ZERO),
+        };
+        let idle = now.saturating_duration_since(since);
+        (idle >= SAFE_FOR && self.blocked.get().is_none()).then_some(idle + bias)
+    }
+}
+
+/// The places of a front's connections.
+pub struct Seats {
+    places: Arc<Semaphore>,
+    taken: RefCell<BTreeMap<u64, Rc<Known>>>,
+    next: Cell<u64>,
+}
+
+impl Seats {
+    /// So many places.
+    pub fn new(most: usize) -> Rc<Seats> {
+        let places = Arc::new(Semaphore::new(most));
+        Rc::new(Seats { places, taken: RefCell::default(), next: Cell::default() })
+    }
+
+    /// A place, as soon as there is one. Guards against silent clients that take the places of those that ask:
+    /// the connection that has been without a request for longest is closed where there is no room.
+    pub async fn place(&self) -> Option<OwnedSemaphorePermit> {
+        loop {
+            if self.places.available_permits() == 0 {
+                self.make_room();
+            }
+            if let Ok(place) = tokio::time::timeout(AGAIN, self.places.clone().acquire_owned()).await {
+                return place.ok();
+            }
+        }
+    }
+
+    /// Takes the place for a connection that begins now.
+    pub fn take(self: &Rc<Self>, place: Option<OwnedSemaphorePermit>) -> Seat {
+        let number = self.next.replace(self.next.get() + 1);
+        let known = Rc::new(Known {
+            state: Cell::new(State::Coming(Instant::now())),
+            blocked: Cell::default(),
+            framing: RefCell::default(),
+            close: Notify::new(),
+        });
+        self.taken.borrow_mut().insert(number, known.clone());
+        Seat { seats: self.clone(), number, known, _place: place }
+    }
+
+    /// Closes the connections that are due.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        let taken = self.taken.borrow();
+        taken.values().filter(|k| k.due().is_some_and(|due| due <= now)).for_each(|k| k.close.notify_one());
+    }
+
+    fn make_room(&self) {
+        let now = Instant::now();
+        let taken = self.taken.borrow();
+        let idle = taken.values().filter_map(|k| Some((k.idle(now)?, k)));
+        if let Some((_, known)) = idle.max_by_key(|(idle, _)| *idle) {
+            known.close.notify_one();
+        }
+    }
+}
+
+/// A connection's place, held for as long as it lasts.
+pub struct Seat {
+    seats: Rc<Seats>,
+    number: u64,
+    known: Rc<Known>,
+    _place: Option<OwnedSemaphorePermit>,
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.seats.taken.borrow_mut().remove(&self.number);
+    }
+}
+
+impl Seat {
+    /// The stream, watched.
+    pub fn watch(&self, stream: TcpStream) -> Watched {
+        Watched { stream, known: self.known.clone() }
+    }
+
+    /// Through which requests on this connection are told of.
+    pub fn desk(&self) -> Desk {
+        Desk(self.known.clone())
+    }
+
+    /// Waits until the connection is to be closed.
+    pub async fn closed(&self) {
+        self.known.close.notified().await;
+    }
+}
+
+/// Where the requests of a connection are noted.
+#[derive(Clone)]
+pub struct Desk(Rc<Known>);
+
+impl Desk {
+    /// A request's head is here. It counts as being answered until the guard is dropped.
+    pub fn open(&self) -> Open {
+        let since = match self.0.state.replace(State::Open) {
+            State::Coming(since) => since,
+            State::Open | State::Kept(_) => Instant::now(),
+        };
+        Open { known: self.0.clone(), due: since + REQUEST_WAIT }
+    }
+
+    /// Whether where this request ends is in doubt.
+    pub fn is_ambiguous(&self) -> bool {
+        self.0.framing.borrow().is_ambiguous()
+    }
+
+    /// Whether the connection must end with this request.
+    pub fn is_last(&self) -> bool {
+        self.0.framing.borrow().is_lost()
+    }
+}
+
+/// A request that is being answered.
+pub struct Open {
+    known: Rc<Known>,
+    due: Instant,
+}
+
+impl Open {
+    /// When all of the request must be here.
+    pub fn due(&self) -> Instant {
+        self.due
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let between = self.known.framing.borrow().is_between();
+        self.known.state.set(if between { State::Kept(now) } else { State::Coming(now) });
+    }
+}
+
+/// A client's stream, with a look at what passes.
+pub struct Watched {
+    stream: TcpStream,
+    known: Rc<Known>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let mut framing = self.known.framing.borrow_mut();
+        framing.take(&buf.filled()[before..]);
+        if matches!(self.known.state.get(), State::Kept(_)) && !framing.is_between() {
+            self.known.state.set(State::Coming(Instant::now()));
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        let blocked = self.known.blocked.get().unwrap_or_else(Instant::now);
+        self.known.blocked.set(written.is_pending().then_some(blocked));
+        written
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/router/src/upstream/mod.rs
+++ b/router/src/upstream/mod.rs
@@ -313,6 +313,7 @@
     let (head, mut body) = answer.into_parts();
     let load = reply::load_of(&head.headers, &shared.options.report);
     let reply = Reply::decode(head.status, &head.headers);
+    tracing::debug!(status = head.status.as_u16(), ?reply, "a worker answers");
     if reply == Reply::Stream {
         let media_type = head.headers.get("content-type").and_then(|v| v.to_str().ok());
         let media_type = media_type.unwrap_or("text/event-stream").to_owned();
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -21,6 +21,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde_json::{json, Value};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch, Notify, Semaphore};
 use tokio::task::{spawn_local, AbortHandle, LocalSet};
@@ -457,3 +458,24 @@
         self.send(request.unwrap()).await
     }
 }
+
+/// A client that sends what it likes.
+pub struct Raw(TcpStream);
+
+impl Raw {
+    pub async fn connect(address: SocketAddr) -> Raw {
+        Raw(TcpStream::connect(address).await.unwrap())
+    }
+
+    pub async fn send(&mut self, text: &str) {
+        self.0.write_all(text.as_bytes()).await.unwrap();
+    }
+
+    /// All that is said until the router closes the connection.
+    pub async fn until_closed(&mut self) -> String {
+        let mut said = Vec::new();
+        // A close with something unread on the other side comes as an error.
+        let _ = self.0.read_to_end(&mut said).await;
+        String::from_utf8_lossy(&said).into_owned()
+    }
+}
--- a/router/tests/core.rs
+++ b/router/tests/core.rs
@@ -101,7 +101,7 @@
     }
 
     fn ask(&mut self) -> Caller {
-        let caller = hand_in(&self.handle);
+        let caller = hand_in(&self.handle, "q");
         self.drain();
         caller
     }
@@ -131,10 +131,10 @@
     }
 }
 
-fn hand_in(handle: &Handle) -> Caller {
+fn hand_in(handle: &Handle, name: &str) -> Caller {
     let message = Message { target: "/x".to_owned(), media_type: "text/plain".to_owned(), body: "".into() };
     handle.ask(Asked {
-        name: "q".into(),
+        name: name.into(),
         class: ClassId(0),
         session: None,
         prefix: None,
@@ -230,12 +230,12 @@
 async fn a_panic_fails_what_is_open_and_the_next_request_is_served() {
     let bench = Bench::new(Effect::Safe);
     bench.notes.1.set(true);
-    let first = hand_in(&bench.handle);
+    let first = hand_in(&bench.handle, "q");
     let Bench { core, notes, handle, happenings } = bench;
     let serving = async {
         assert!(matches!(first.answer().await.0, Answer::Failed));
         assert_eq!(notes.take(), [Told::Withdraw(attempt(0)), Told::Release("q".to_owned())]);
-        let _second = hand_in(&handle);
+        let _second = hand_in(&handle, "r");
         tokio::time::sleep(Duration::from_millis(1)).await;
         let sent = |told: &Told| matches!(told, Told::Send(_, host) if host == "reader");
         assert!(notes.take().iter().any(sent));
--- a/router/tests/platform.rs
+++ b/router/tests/platform.rs
@@ -5,7 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use common::{line, run, Bed, Behaviour, Client, Discovery, Seen, Worker, DONE, EVENT};
+use common::{line, run, run_paused, Bed, Behaviour, Client, Discovery, Raw, Seen, Worker, DONE, EVENT};
+use tokio::task::spawn_local;
 
 const CHAT: &str = "/v1/chat/completions";
 
@@ -70,7 +71,7 @@
         let (reader, writer, bed) = pair(Behaviour::Answer).await;
         reader.behaviour.set(Behaviour::Hang);
         let mut client = Client::connect(bed.platform).await;
-        let asked = tokio::task::spawn_local(async move { client.ask("d1", "chat", 5_000).await.0 });
+        let asked = spawn_local(async move { client.ask("d1", "chat", 5_000).await.0 });
         reader.until(|seen| seen.iter().any(|s| matches!(s, Seen::Began(..)))).await;
         asked.abort();
         reader.until(|seen| seen.contains(&Seen::Freed("d1".to_owned()))).await;
@@ -107,7 +108,7 @@
         let mut kept = Client::connect(bed.platform).await;
         assert_eq!(kept.get("/up").await.0, 200);
         let mut client = Client::connect(bed.platform).await;
-        let asked = tokio::task::spawn_local(async move { client.ask("f1", "order", 5_000).await });
+        let asked = spawn_local(async move { client.ask("f1", "order", 5_000).await });
         reader.until(|seen| !seen.is_empty() || reader.began(CHAT) > 0).await;
         bed.stop.take().unwrap().send(()).unwrap();
         // Connections still come for a while, and are served, but no more are asked for.
@@ -135,7 +136,7 @@
         for n in 0..4 {
             let id = format!("h{n}");
             let mut client = Client::connect(bed.platform).await;
-            let asked = tokio::task::spawn_local({
+            let asked = spawn_local({
                 let id = id.clone();
                 async move { client.ask(&id, "chat", 5_000).await.0 }
             });
@@ -191,27 +192,112 @@
     });
 }
 
-/// Guards against clients that use up descriptors and memory: past the limit they wait their turn.
+/// Guards against clients that use up descriptors and memory, and against those that keep their connections
+/// without asking and so take the places of those that ask.
 #[test]
-fn connections_of_clients_are_bounded() {
+fn connections_of_clients_are_bounded_and_those_without_a_request_make_room() {
     run(async {
-        let (_reader, _writer, bed) = pair(Behaviour::Answer).await;
+        let (reader, _writer, bed) = pair(Behaviour::Answer).await;
         // 64 descriptors less 32 are shared by workers and clients, and theirs by two fronts.
-        let mut held = Vec::new();
-        for _ in 0..8 {
+        const MOST: usize = 8;
+        let mut kept = Client::connect(bed.platform).await;
+        assert_eq!(kept.get("/up").await.0, 200);
+        let mut silent = Vec::new();
+        for _ in 0..2 * MOST {
+            silent.push(Raw::connect(bed.platform).await);
+        }
+        let mut client = Client::connect(bed.platform).await;
+        assert_eq!(client.ask("k0", "order", 5_000).await.0, 200);
+        // Requests that are being answered keep their places: one more waits for its turn.
+        reader.behaviour.set(Behaviour::Hang);
+        let mut asked = Vec::new();
+        for n in 0..MOST {
             let mut client = Client::connect(bed.platform).await;
-            assert_eq!(client.get("/up").await.0, 200);
-            held.push(client);
+            asked.push(spawn_local(async move { client.ask(&format!("k{n}x"), "order", 9_000).await.0 }));
         }
+        reader.until(|seen| seen.len() >= MOST).await;
         let mut client = Client::connect(bed.platform).await;
-        let waits = tokio::task::spawn_local(async move { client.get("/up").await.0 });
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        assert!(!waits.is_finished());
-        held.pop();
+        let waits = spawn_local(async move { client.get("/up").await.0 });
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        assert!(!waits.is_finished() && asked.iter().all(|a| !a.is_finished()));
+        asked.pop().unwrap().abort();
         assert_eq!(waits.await.unwrap(), 200);
     });
 }
 
+/// Guards against clients that say nothing, or never finish what they say: they are closed in a bounded time,
+/// and others are served all the while. A connection that is kept between two requests is no such thing.
+#[test]
+fn a_request_that_does_not_come_to_its_end_is_ended() {
+    run_paused(async {
+        let (_reader, _writer, bed) = pair(Behaviour::Answer).await;
+        let mut kept = Client::connect(bed.platform).await;
+        assert_eq!(kept.get("/up").await.0, 200);
+        let head = format!("POST {CHAT} HTTP/1.1\r\nhost: app\r\n");
+        for (text, answer) in [
+            (String::new(), ""),
+            (head.clone(), ""),
+            (format!("{head}content-length: 9\r\n\r\n{{"), "HTTP/1.1 408 "),
+            (format!("{head}content-length: 60000000\r\n\r\n{{"), "HTTP/1.1 413 "),
+            (format!("{head}content-length: -1\r\n\r\n"), "HTTP/1.1 400 "),
+            ("\u{1}\u{2}\r\n\r\n".to_owned(), "HTTP/1.1 400 "),
+        ] {
+            let began = tokio::time::Instant::now();
+            let mut raw = Raw::connect(bed.platform).await;
+            raw.send(&text).await;
+            let said = raw.until_closed().await;
+            assert!(said.starts_with(answer) && said.is_empty() == answer.is_empty(), "{text:?}: {said:?}");
+            assert!(began.elapsed() < Duration::from_millis(3_000), "{text:?}");
+        }
+        assert_eq!(kept.get("/up").await.0, 200);
+    });
+}
+
+/// Guards against a request that hides another in its body: it is refused, and nothing of either is passed on.
+#[test]
+fn a_request_with_a_length_and_an_encoding_is_refused_with_what_it_hides() {
+    run(async {
+        let (reader, _writer, bed) = pair(Behaviour::Answer).await;
+        let request = |id: &str, framing: &str| {
+            format!(
+                "POST {CHAT} HTTP/1.1\r\nhost: app\r\nx-request-id: {id}\r\nx-class: chat\r\n\
+                x-deadline-ms: 2000\r\n{framing}\r\n"
+            )
+        };
+        let (length, encoding) = ("content-length: 5\r\n", "transfer-encoding: chunked\r\n");
+        for framing in [format!("{length}{encoding}"), format!("{encoding}{length}")] {
+            let mut raw = Raw::connect(bed.platform).await;
+            raw.send(&format!("{}0\r\n\r\n{}", request("l1", &framing), request("l2", ""))).await;
+            let said = raw.until_closed().await;
+            assert!(said.starts_with("HTTP/1.1 400 ") && !said[9..].contains("HTTP/1.1"), "{said}");
+        }
+        let mut raw = Raw::connect(bed.platform).await;
+        raw.send(&format!("{}2\r\n{{}}\r\n0\r\n\r\n", request("l3", encoding))).await;
+        assert!(raw.until_closed().await.starts_with("HTTP/1.1 200 "), "an encoding alone is nothing bad");
+        assert_eq!(reader.began(CHAT), 1);
+    });
+}
+
+/// Guards against two requests under one id: what servers hold for the one would be let go for the other.
+#[test]
+fn the_id_of_an_open_request_is_not_taken_again() {
+    run(async {
+        let (reader, writer, bed) = pair(Behaviour::Answer).await;
+        writer.behaviour.set(Behaviour::Hang);
+        let mut client = Client::connect(bed.platform).await;
+        let asked = spawn_local(async move { client.ask("m1", "order", 9_000).await.0 });
+        writer.until(|seen| seen.iter().any(|s| matches!(s, Seen::Began(..)))).await;
+        let mut other = Client::connect(bed.platform).await;
+        assert_eq!(other.ask("m1", "chat", 9_000).await.0, 409);
+        let body = serde_json::json!({"model": "m", "messages": [{"role": "user", "content": "x"}]});
+        let again = http::Request::post(CHAT).header("host", "app").header("x-request-id", "m1");
+        let again = again.body(body.to_string().into()).unwrap();
+        assert_eq!(Client::connect(bed.inference).await.send(again).await.0, 409);
+        assert!(!asked.is_finished());
+        assert_eq!((reader.began(CHAT), writer.began(CHAT), rooms(&writer, "DELETE", "m1")), (1, 1, 0));
+    });
+}
+
 #[test]
 fn bad_input_is_answered_plainly() {
     run(async {
