Know spoilt answers by their bytes, end them at once and never reuse their connections

Seen: with bad workers 46 answers could not be read; a head that does not end or a part said to hold 3 GB was waited for until the deadline or passed on as it came (upstream/mod.rs begin and pump looked at what hyper had decoded only), and a load report that cannot be read took the place of the last good one (reply.rs load gave an empty report). Now the meter of a connection follows answers too (framing.rs, moved out of front/): what nobody asked for, a part over 4 MiB, and a head or part that does not go on within 1 s end the attempt as reset, so it may have run. A connection is kept only between answers. A stream is bound to its client with its first whole event, not with a piece of one.

Debug log lines tell how attempts and requests end.

--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -268,6 +268,7 @@
 
 struct Request {
     asked: Asked,
+    arrived: Micros,
     valid_until: Micros,
     /// Present until the final answer.
     carrier: Option<Carrier>,
@@ -440,6 +441,7 @@
         };
         let request = Request {
             asked,
+            arrived: now,
             valid_until,
             carrier: Some(carrier),
             attempts: 0,
@@ -484,6 +486,10 @@
         let Ended { outcome, info, load } = ended;
         let (host, spent) = (out.host, self.clock.now() - out.sent);
         let number = attempt.number;
+        if let (Some(request), Some(to)) = (self.requests.get(&id), self.hosts.get(&host)) {
+            let (id, to) = (&request.asked.name, &to.name);
+            tracing::debug!(%id, number, to, ?outcome, info, spent, "an attempt has ended");
+        }
         self.decide(Event::Result { id, attempt: number, host, outcome, info, no_more, spent, load });
     }
 
@@ -671,6 +677,8 @@
     fn finish(&mut self, id: RequestId, answer: Option<Answer>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.over = true;
+        let (id, spent) = (&request.asked.name, self.clock.now() - request.arrived);
+        tracing::debug!(%id, ?answer, spent, "a request has ended");
         if let (Some(carrier), Some(answer)) = (request.carrier.take(), answer) {
             carrier.answer(answer);
         }
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -1,7 +1,6 @@
 //! The server side: listening, connections, and what all fronts share. A front is a tower service over hyper
 //! that decodes a request once, waits at the exchange, and encodes the answer once.
 
-mod framing;
 pub mod inference;
 pub mod platform;
 mod seat;
--- a/router/src/front/seat.rs
+++ b/router/src/front/seat.rs
@@ -15,7 +15,7 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 
-use super::framing::Framing;
+use crate::framing::Framing;
 
 /// How long a client may take over the head of a request, from the connection's start or its first byte ...
 pub const HEAD_WAIT: Duration = Duration::from_millis(2_000);
@@ -107,7 +107,7 @@
         let known = Rc::new(Known {
             state: Cell::new(State::Coming(Instant::now())),
             blocked: Cell::default(),
-            framing: RefCell::default(),
+            framing: RefCell::new(Framing::of_requests()),
             close: Notify::new(),
         });
         self.taken.borrow_mut().insert(number, known.clone());
@@ -183,7 +183,7 @@
 
     /// Whether the connection must end with this request.
     pub fn is_last(&self) -> bool {
-        self.0.framing.borrow().is_lost()
+        self.0.framing.borrow().is_last()
     }
 }
 
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod core;
 pub mod discovery;
 pub mod exchange;
+mod framing;
 pub mod front;
 pub mod peers;
 pub mod shutdown;
--- a/router/src/upstream/link.rs
+++ b/router/src/upstream/link.rs
@@ -6,7 +6,7 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,16 +20,31 @@
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinHandle;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
 use crate::core::Host;
+use crate::framing::Framing;
 
-/// Finds the last byte of each request among the bytes written. Whether it is out settles if the request may
-/// have run: guards against calling a lost connection harmless, or a harmless one lost.
-#[derive(Default)]
+/// Looks at the bytes that pass. Among those written it finds the last one of each request: whether it is out
+/// settles if the request may have run, which guards against calling a lost connection harmless, or a harmless
+/// one lost. Among those read it follows the answers, to their ends.
 pub struct Meter {
     state: Cell<Written>,
     wake: Notify,
+    answers: RefCell<Framing>,
+    /// Since when a head that comes has not ended, or a part has not gone on.
+    partial: Cell<Option<Instant>>,
+}
+
+impl Default for Meter {
+    fn default() -> Meter {
+        Meter {
+            state: Cell::default(),
+            wake: Notify::new(),
+            answers: RefCell::new(Framing::of_answers()),
+            partial: Cell::default(),
+        }
+    }
 }
 
 #[derive(Clone, Copy, Default, PartialEq, Eq, Debug)]
@@ -78,6 +93,38 @@
         }
     }
 
+    /// Takes what a worker has said; an error where nobody can have asked for it, or it cannot be right. Guards
+    /// against an answer to a request that was never sent, which the next one would be given.
+    fn hear(&self, bytes: &[u8]) -> io::Result<()> {
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        let mut answers = self.answers.borrow_mut();
+        let unasked = answers.is_between() && self.untouched();
+        answers.take(bytes);
+        self.partial.set(match self.partial.get() {
+            since @ Some(_) if answers.is_in_head() => since,
+            _ if answers.is_in_head() || answers.is_in_part() => Some(Instant::now()),
+            _ => None,
+        });
+        if unasked || answers.is_spoilt() {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        Ok(())
+    }
+
+    /// Waits until an answer that has begun does not go on: it is spoilt.
+    pub async fn stalled(&self) {
+        loop {
+            let now = Instant::now();
+            match self.partial.get() {
+                Some(since) if now >= since + STALL => return,
+                Some(since) => sleep_until(since + STALL).await,
+                None => sleep_until(now + STALL).await,
+            }
+        }
+    }
+
     /// Whether the request's last byte has been written.
     pub fn all_out(&self) -> bool {
         self.state.get() == Written::All
@@ -110,7 +157,9 @@
     fn poll_read(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        Poll::Ready(read.and_then(|()| self.meter.hear(&buf.filled()[before..])))
     }
 }
 
@@ -197,6 +246,10 @@
 #[error("no connection")]
 pub struct NoLink;
 
+/// How long a worker may take to go on with the head or the part of an answer that it has begun.
+const STALL: Duration = Duration::from_millis(1_000);
+/// The most that is read ahead on a connection, and so the longest head of an answer.
+const BUFFER_MOST: usize = 64 * 1024;
 /// How long a connection may take to finish a message that has been answered before it is kept.
 const SETTLE: Duration = Duration::from_millis(50);
 
@@ -245,14 +298,19 @@
         let _ = stream.set_nodelay(true);
         let meter = Rc::new(Meter::default());
         let io = TokioIo::new(Metered { stream, meter: meter.clone() });
-        let (sender, connection) = http1::handshake(io).await.map_err(|_| NoLink)?;
+        let (sender, connection) =
+            http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(io).await.map_err(|_| NoLink)?;
         // How it ended shows at the request that it carried.
         let driver = tokio::task::spawn_local(async move { drop(connection.await) });
         Ok(Link { host: host.id, sender, meter, driver, reused: false, _place: place })
     }
 
-    /// Keeps a connection whose request has been answered in full, if it stays usable.
+    /// Keeps a connection whose request has been answered in full, if it stays usable: guards against a second
+    /// answer behind the first, which the next request would be given.
     pub async fn put(&self, mut link: Link) {
+        if !link.meter.answers.borrow().is_between() {
+            return;
+        }
         if let Ok(Ok(())) = timeout(SETTLE, link.sender.ready()).await {
             let host = link.host;
             self.idle.borrow_mut().entry(host).or_default().push(Idle { link, since: Instant::now() });
--- a/router/src/upstream/mod.rs
+++ b/router/src/upstream/mod.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use cranetack::{HostId, Outcome, RequestId};
 use cranetack_facts::Report;
 use http::{Method, Request, Response, StatusCode};
@@ -23,9 +23,11 @@
 use crate::core::{AttemptId, Ended, Handle, Happening, Host, Order, Outbound, Place};
 use crate::exchange::{self, Sink};
 use crate::peers::Peers;
-use link::{Link, Links};
+use link::{Link, Links, Meter};
 use reply::{Reply, Tail};
 
+/// The media type of a stream of events.
+const EVENTS: &str = "text/event-stream";
 /// The most of an answer that is held at once; streams are not held.
 const BODY_MOST: usize = 64 * 1024;
 /// How long a client may read nothing of what waits for it.
@@ -139,9 +141,7 @@
         tokio::task::spawn_local(async move {
             let began = Instant::now();
             let (outcome, load) = match shared.load(&host).await {
-                Ok((StatusCode::OK, text)) => {
-                    (Outcome::Good, Some(reply::load(&text, &shared.options.report)))
-                }
+                Ok((StatusCode::OK, text)) => (Outcome::Good, reply::load(&text, &shared.options.report)),
                 Ok(_) => (Outcome::Full, None),
                 Err(outcome) => (outcome, None),
             };
@@ -221,7 +221,9 @@
         let (sink, parts) = exchange::stream();
         let attempt = self.order.attempt;
         self.shared.handle.tell(Happening::Established { attempt, media_type, parts });
+        let meter = slot.as_ref().map(|link| link.meter().clone());
         let pumped = tokio::select! {
+            () = stalled(meter) => Err(Outcome::Reset),
             pumped = pump(&mut body, first, sink, self.shared.options.silence) => pumped,
             Ok(()) = &mut self.broken_off => Err(Outcome::Cancelled),
         };
@@ -293,6 +295,7 @@
         };
         let answer = tokio::select! {
             answer = link.send(request) => answer,
+            () = meter.stalled() => return Begun::Ended(Outcome::Reset.into()),
             () = told => return none(),
         };
         match answer {
@@ -306,25 +309,31 @@
             Err(_) => return Begun::Ended(Outcome::Reset.into()),
         }
     };
-    answered(shared, answer, slot).await
+    let meter = slot.as_ref().map(|link| link.meter().clone());
+    tokio::select! {
+        begun = answered(shared, answer, slot) => begun,
+        () = stalled(meter) => Begun::Ended(Outcome::Reset.into()),
+    }
+}
+
+/// Waits until the answer that comes over a connection does not go on.
+async fn stalled(meter: Option<Rc<Meter>>) {
+    match meter {
+        Some(meter) => meter.stalled().await,
+        None => std::future::pending().await,
+    }
 }
 
 async fn answered(shared: &Shared, answer: Response<Incoming>, slot: &mut Option<Link>) -> Begun {
     let (head, mut body) = answer.into_parts();
     let load = reply::load_of(&head.headers, &shared.options.report);
     let reply = Reply::decode(head.status, &head.headers);
-    tracing::debug!(status = head.status.as_u16(), ?reply, "a worker answers");
     if reply == Reply::Stream {
         let media_type = head.headers.get("content-type").and_then(|v| v.to_str().ok());
-        let media_type = media_type.unwrap_or("text/event-stream").to_owned();
-        return loop {
-            match body.frame().await {
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(first) if !first.is_empty() => break Begun::Streams { body, first, media_type },
-                    _ => {}
-                },
-                Some(Err(_)) | None => break Begun::Ended(Outcome::Reset.into()),
-            }
+        let media_type = media_type.unwrap_or(EVENTS).to_owned();
+        return match opening(&mut body, media_type.starts_with(EVENTS)).await {
+            Some(first) => Begun::Streams { body, first, media_type },
+            None => Begun::Ended(Outcome::Reset.into()),
         };
     }
     let Ok(text) = collect(body).await else { return Begun::Ended(Outcome::Reset.into()) };
@@ -337,6 +346,21 @@
     })
 }
 
+/// The beginning of a stream, of events the first whole one; `None` if there is none. Guards against a request
+/// that is bound to a stream of which nothing of use has come.
+async fn opening(body: &mut Incoming, events: bool) -> Option<Bytes> {
+    let mut held = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.ok()?.into_data() else { continue };
+        held.extend_from_slice(&data);
+        let whole = !events || held.windows(2).any(|two| two == b"\n\n") || held.len() > BODY_MOST;
+        if whole && !held.is_empty() {
+            return Some(held.freeze());
+        }
+    }
+    Some(held.freeze()).filter(|held| !held.is_empty())
+}
+
 async fn collect<B: Body<Data = Bytes>>(body: B) -> Result<Bytes, Box<dyn std::error::Error + Send + Sync>>
 where
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
