Move streams off a router that ends while another one serves, and answer all in time

The log by half seconds: 44 streams ended at once when the first router's time was up, 0.4 s after the second router had been told to end too; their clients came again and found nobody. Ruled out: readiness (0.1 to 0.4 s), the list, refusals (none). At fault: shutdown.rs let streams run until they were killed, and lib.rs told the module nothing of the end.

Now the module is told (Event::Leaving), tells the others, and moves its streams a few at a look while one of them serves; while all are away it waits; by the longest deadline (3 s at most) plus 0.3 s all has its final answer. Sites whose streams cannot be moved end as before.

--- a/facts/src/lib.rs
+++ b/facts/src/lib.rs
@@ -47,8 +47,7 @@
 pub struct ClassFacts {
     /// Its name.
     pub name: String,
-    /// How long its client waits, over all its tries.
-    pub deadline_us: Option<f64>,
+    deadline_us: Option<f64>,
     goal_time_us: Option<f64>,
     idempotency: Option<String>,
     key_scope: Option<String>,
@@ -115,6 +114,13 @@
     pub pending_column: Option<String>,
 }
 
+impl ClassFacts {
+    /// How long its client waits, over all its tries.
+    pub fn deadline(&self) -> Option<Duration> {
+        span(self.deadline_us)
+    }
+}
+
 impl Allowed {
     /// How long a connection may take to come up.
     pub fn connect_timeout(&self) -> Option<Duration> {
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -39,6 +39,11 @@
         self.unix.saturating_add(micros(self.start.elapsed()))
     }
 
+    /// The point in time of an instant.
+    pub fn at(&self, instant: Instant) -> Micros {
+        self.now().saturating_add(micros(instant.saturating_duration_since(Instant::now())))
+    }
+
     /// The instant of a point in time; one that has passed is now.
     pub fn instant(&self, at: Micros) -> Instant {
         Instant::now() + Duration::from_micros(u64::try_from(at.saturating_sub(self.now())).unwrap_or(0))
@@ -218,6 +223,8 @@
     Members(ListForm, Vec<Listed>),
     /// Another router's message.
     Peer(u32, Vec<u8>),
+    /// The router ends: clients are sent elsewhere from one instant on, and all must be answered by another.
+    Leaving(Instant, Instant),
     /// Somebody asks how the module stands towards the servers.
     Survey(oneshot::Sender<Vec<Surveyed>>),
 }
@@ -402,6 +409,10 @@
                 self.decide(Event::Probed { host, outcome, spent: micros(spent), load });
             }
             Happening::Members(form, listed) => self.members(form, listed),
+            Happening::Leaving(from, by) => {
+                let [from, by] = [from, by].map(|at| self.clock.at(at));
+                self.decide(Event::Leaving { from, by });
+            }
             Happening::Survey(asker) => {
                 let _ = asker.send(self.survey());
             }
@@ -450,6 +461,8 @@
             released: false,
             over: false,
         };
+        let Asked { name, retry, came_back, .. } = &request.asked;
+        tracing::debug!(id = %name, retry, came_back, "a request has come");
         self.requests.insert(id, request);
         self.decide(Event::Ask(ask));
     }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -28,6 +28,7 @@
 use std::time::Duration;
 
 use cranetack::ListForm;
+use cranetack_facts::ClassFacts;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
@@ -62,6 +63,8 @@
 const FRESH_WAIT: Duration = Duration::from_millis(1_500);
 /// Descriptors for all but connections of clients and workers: listeners, discovery, logs and the runtime.
 const SPARE: usize = 32;
+/// After the last answer, for letting go of what is held for requests that were given up at the end.
+const LET_GO: Duration = Duration::from_millis(100);
 /// Clients' connections at most, whatever the descriptors: each may hold a body of 256 KiB, and a buffer.
 const CLIENTS_MOST: usize = 384;
 /// How long a stream may be silent before it counts as broken: a machine that has vanished says nothing. Where
@@ -164,6 +167,9 @@
             spawn_local(peers.clone().receive(handle.clone()));
         }
         let phase = shutdown::phases(signal);
+        let moves = config.settings.resume;
+        let deadlines = config.facts.classes.iter().filter_map(ClassFacts::deadline);
+        let within = shutdown::answered_within(deadlines.max().unwrap_or_default());
         let each = (config.limits.sockets - SPARE) / 2;
         let allowed = &config.facts.allowed;
         let options = upstream::Options {
@@ -186,6 +192,16 @@
             tokio::time::sleep(FRESH_WAIT).await;
             late.send_replace(true);
         });
+        // Where streams cannot be moved, those that run are finished, however long that takes.
+        if moves {
+            let (leaving, handle) =
+                (shutdown::reached(phase.clone(), shutdown::Phase::Leaving), handle.clone());
+            spawn_local(async move {
+                leaving.await;
+                let now = tokio::time::Instant::now();
+                handle.tell(Happening::Leaving(now + shutdown::ACCEPT_FOR, now + within));
+            });
+        }
         let readiness = front::Readiness::new(fresh, phase.clone());
         let platform = Platform::new(handle.clone(), &config.facts, readiness);
         tracing::info!(name = config.name, listen = %config.listen, "serving");
@@ -213,5 +229,8 @@
         // Proxies subscribe for as long as they live; nothing that was taken depends on them.
         control.inspect(tokio::task::JoinHandle::abort);
         tracing::info!("all that was taken has been answered");
+        if moves {
+            tokio::time::sleep(LET_GO).await;
+        }
     }
 }
--- a/router/src/shutdown.rs
+++ b/router/src/shutdown.rs
@@ -1,5 +1,5 @@
-//! Signals, and the end of the program: on SIGTERM new connections are taken for a span, then kept ones are closed between
-//! requests, and the program ends when all that it has taken is answered.
+//! Signals, and the end of the program: on SIGTERM new connections are taken for a span, then kept ones are closed
+//! between requests, and the program ends when all that it has taken is answered.
 
 use std::time::Duration;
 
@@ -7,6 +7,10 @@
 
 /// For how long connections are accepted after the signal: those that send them here need to notice.
 pub const ACCEPT_FOR: Duration = Duration::from_millis(700);
+/// What takes longer than this to begin is not waited for by those who end the program ...
+const WAITED_FOR: Duration = Duration::from_millis(3_000);
+/// ... and by so much sooner all must be answered.
+const MARGIN: Duration = Duration::from_millis(400);
 
 /// How far the end has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -19,6 +23,11 @@
     Finishing,
 }
 
+/// For how long after the signal answers may be given, where a client waits for so long at the most.
+pub fn answered_within(longest: Duration) -> Duration {
+    longest.min(WAITED_FOR) + ACCEPT_FOR - MARGIN
+}
+
 /// Starts the phases and returns where they can be seen. `signal` completes when the end is wanted.
 pub fn phases(signal: impl std::future::Future<Output = ()> + 'static) -> watch::Receiver<Phase> {
     let (tx, rx) = watch::channel(Phase::Serving);
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -413,9 +413,13 @@
     }
 
     pub async fn start_with(lines: Vec<Value>, tenants: Option<Tenants>) -> Bed {
+        Bed::start_set(lines, tenants, settings()).await
+    }
+
+    pub async fn start_set(lines: Vec<Value>, tenants: Option<Tenants>, settings: Value) -> Bed {
         let discovery = Discovery::start(lines).await;
         let config = json!({"name": "r0", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
-            "seed": "7", "limits": {"sockets": 64}, "settings": settings()});
+            "seed": "7", "limits": {"sockets": 64}, "settings": settings});
         let config = Config::parse(config.to_string().as_bytes()).unwrap();
         let file = include_str!("../../../deploy/inference.toml");
         let file = file
--- a/router/tests/platform.rs
+++ b/router/tests/platform.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use common::{line, run, scripted, Bed, Behaviour, Client, Discovery, Raw, Seen, Worker, DONE, EVENT};
+use common::{
+    line, run, scripted, settings, Bed, Behaviour, Client, Discovery, Raw, Seen, Worker, DONE, EVENT,
+};
 use tokio::task::spawn_local;
 
 const CHAT: &str = "/v1/chat/completions";
@@ -187,6 +189,34 @@
     });
 }
 
+/// Guards against streams that the end of the program cuts off, and against requests that it finds unanswered:
+/// where streams can be moved, one is broken off in time, so that its client asks elsewhere for the rest.
+#[test]
+fn where_streams_can_be_moved_all_is_answered_shortly_before_the_end() {
+    run(async {
+        let reader = Worker::start(8, Behaviour::Read).await;
+        let (writer, _) = scripted("writer", vec![chunked(&[EVENT])]).await;
+        let mut set = settings();
+        set["domain"]["resume"] = true.into();
+        let mut bed = Bed::start_set(vec![line(&reader, "reader", "up"), writer], None, set).await;
+        let ask = |id: &'static str, class: &'static str| {
+            let platform = bed.platform;
+            spawn_local(async move { Client::connect(platform).await.ask(id, class, 60_000).await })
+        };
+        let streams = ask("q1", "order");
+        reader.until(|seen| seen.contains(&Seen::Freed("q1".to_owned()))).await;
+        reader.behaviour.set(Behaviour::Hang);
+        let waits = ask("q2", "order");
+        reader.until(|seen| seen.contains(&Seen::Began(CHAT.to_owned(), "q2".to_owned()))).await;
+        bed.stop.take().unwrap().send(()).unwrap();
+        let (status, _, body) = streams.await.unwrap();
+        assert_eq!((status, body), (200, None));
+        assert_eq!(waits.await.unwrap().0, 503, "a read has no effect: trying again is harmless");
+        bed.stopped.await.unwrap();
+        assert_eq!(rooms(&reader, "DELETE", "q2"), 1);
+    });
+}
+
 /// Guards against state that stays pinned while a worker refuses connections: another one is told.
 #[test]
 fn held_state_is_let_go_though_a_worker_is_down() {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -337,6 +337,13 @@
         /// The server's report.
         load: Option<Load>,
     },
+    /// The host is about to end, and takes nothing new from now on or soon.
+    Leaving {
+        /// From then on clients that ask again reach another dispatcher, if there is one.
+        from: Micros,
+        /// All must be answered by then.
+        by: Micros,
+    },
     /// Another dispatcher's message.
     Peer {
         /// Its number.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -60,6 +60,9 @@
 const FALL_WINDOW: Micros = 2_000_000;
 const START_CAPACITY: f64 = 0.15;
 const WARM_UP: Micros = 20_000_000;
+const PEER_LEAVES: u8 = 1; // what a dispatcher tells the others while it leaves ...
+const AWAY_FOR: Micros = 5_500_000; // ... and from its first word until others send clients there again (us)
+const MOVED_AT_ONCE: usize = 4; // streams moved at a look: each is read anew elsewhere
 const SUBSCRIBE_AGAIN: Micros = 500_000; // after a failed call for the list (us)
 
 const ANY_CLASS: ClassId = ClassId(usize::MAX);
@@ -148,6 +151,8 @@
     /// Limits on all our reads and streams, and their late share. Guards against many dispatchers' one each.
     pools: [(Limit, f64); 2],
     pace: Pace,
+    leaving: Option<(Micros, Micros)>, // streams may be moved from then on, and all is answered by then
+    away: BTreeMap<u32, Micros>,       // dispatchers that leave, and until when they are away
 }
 
 impl Policy {
@@ -165,6 +170,8 @@
             carried: [(0.0, now); 3],
             pools: [0.0; 2].map(|late| (Limit { most: f64::MAX, cut_at: Micros::MIN }, late)),
             pace: Pace { asked_at: now, room_at: now, ..Pace::default() },
+            leaving: None,
+            away: BTreeMap::new(),
         };
         if policy.settings.membership_asked {
             policy.subscribe();
@@ -184,8 +191,10 @@
                 self.on_result(id, attempt, outcome, info, no_more);
             }
             Event::Earmarked { id, held: false, .. } => self.on_refused(id),
-            Event::Earmarked { .. } | Event::Peer { .. } => {}
+            Event::Earmarked { .. } => {}
+            Event::Peer { from, bytes } => self.on_peer(from, &bytes),
             Event::ClientGone(id) => self.leave(id),
+            Event::Leaving { from, by } => self.leaving = Some((from, by)),
             Event::Timer(KEY_TICK) => self.on_tick(),
             Event::Timer(KEY_SUBSCRIBE) => self.subscribe(),
             Event::Timer(key) => self.on_timer(key),
@@ -395,6 +404,9 @@
         self.out.push(Action::Sleep { at: self.now + TICK, key: KEY_TICK });
         self.watch();
         self.advance_waiting();
+        if let Some((from, by)) = self.leaving {
+            self.on_leaving(from, by);
+        }
         let longest = self.hosts.iter().filter(|(_, h)| h.listed).min_by_key(|(_, h)| h.probed_at);
         if let Some((id, _)) = longest.filter(|(_, h)| self.now >= h.probed_at + PROBE_EVERY) {
             self.probe(*id);
@@ -564,6 +576,38 @@
         self.end(id);
     }
 
+    /// While the host leaves, the others are told, and streams are moved, the newest first: others may end by
+    /// themselves. Guards against clients that come again while no dispatcher takes them: none is moved while all
+    /// others are away too. At the end all is, and what has no answer gets its final one.
+    fn on_leaving(&mut self, from: Micros, by: Micros) {
+        if self.settings.peers {
+            self.out.push(Action::Publish { to: None, bytes: vec![PEER_LEAVES] });
+        }
+        let (now, others) = (self.now, self.settings.balancers.unwrap_or(1).saturating_sub(1));
+        let away = self.away.values().filter(|until| now < **until).count();
+        let most = if now >= by { usize::MAX } else { MOVED_AT_ONCE };
+        if now >= by || (now >= from && away < others as usize) {
+            let streams =
+                self.requests.iter().filter(|(_, r)| !r.ended && r.out.is_some_and(|o| o.established));
+            let moved = streams.rev().take(most).map(|(id, _)| Action::Bounce(*id));
+            self.out.extend(moved.filter(|_| self.settings.resume));
+        }
+        let waits = |r: &Request| !r.ended && r.out.is_none_or(|o| !o.established);
+        let open = self.requests.iter().filter(|(_, r)| now >= by && waits(r)).map(|(id, r)| (*id, r.out));
+        for (id, out) in open.collect::<Vec<_>>() {
+            let called_off = out.filter(|_| self.settings.cancelling);
+            self.out.extend(called_off.map(|out| Action::Abort { id, attempt: out.attempt }));
+            self.give_up(id);
+        }
+    }
+
+    fn on_peer(&mut self, from: u32, bytes: &[u8]) {
+        if bytes == [PEER_LEAVES] && self.settings.me != Some(from) {
+            self.away.entry(from).or_insert(self.now + AWAY_FOR);
+        }
+        self.away.retain(|_, until| self.now < *until);
+    }
+
     /// Nobody waits for the answer: what is out is called off and its state let go when its result comes.
     fn leave(&mut self, id: RequestId) {
         let out = self.requests.get(&id).and_then(|r| r.out).filter(|o| !o.established);
--- /dev/null
+++ b/tests/leaving.rs
@@ -0,0 +1,97 @@
+//! What becomes of open requests when the host is about to end.
+
+mod common;
+
+use common::*;
+use cranetack::*;
+
+const READER: u64 = 1;
+const WRITER: u64 = 2;
+const FROM: Micros = SECOND / 2;
+const BY: Micros = 3 * SECOND;
+
+/// A dispatcher among so many, with so many streams running and one request being read.
+fn front(balancers: u32, streams: u32) -> Front {
+    let settings = Settings {
+        balancers: Some(balancers),
+        me: Some(0),
+        resume: true,
+        peers: true,
+        ..settings(Effect::Unsafe)
+    };
+    let mut front = Front::new(settings, vec![member(READER, 0, 0), member(WRITER, 1, 0)]).0;
+    for id in 0..streams {
+        front.ask(ask(id, front.now));
+        front.on(result(id, 0, READER, Outcome::HalfDone));
+        front.on(Event::Established { id: RequestId(id), attempt: 1, host: HostId(WRITER), spent: 1 });
+    }
+    assert_eq!(routes(&front.ask(ask(streams, front.now))), [(streams, READER)]);
+    front.on(Event::Leaving { from: front.now + FROM, by: front.now + BY });
+    front
+}
+
+/// Lets time pass; who is moved, in order. Each ends at once.
+fn moved(front: &mut Front, span: Micros) -> Vec<u32> {
+    let mut moved = Vec::new();
+    let end = front.now + span;
+    while front.now < end {
+        for (_, action) in front.pass(SECOND / 100) {
+            if let Action::Bounce(id) = action {
+                moved.push(id.0);
+                front.on(Event::Result {
+                    id,
+                    attempt: 1,
+                    host: HostId(WRITER),
+                    outcome: Outcome::Cancelled,
+                    info: 0,
+                    no_more: true,
+                    spent: 1,
+                    load: None,
+                });
+            }
+        }
+    }
+    moved
+}
+
+#[test]
+fn streams_are_moved_while_another_dispatcher_serves_the_newest_first() {
+    let mut front = front(2, 7);
+    assert_eq!(moved(&mut front, FROM - SECOND / 10), [0; 0], "clients may still be sent here");
+    let all = moved(&mut front, SECOND / 2);
+    assert_eq!(all, [6, 5, 4, 3, 2, 1, 0], "well before the end, and some at a time");
+}
+
+/// Guards against clients that come again where nobody takes them: the only other one left shortly before.
+#[test]
+fn streams_are_not_moved_while_all_others_are_away() {
+    let mut front = front(2, 3);
+    front.on(Event::Peer { from: 1, bytes: vec![1] });
+    assert_eq!(moved(&mut front, BY - SECOND / 10), [0; 0]);
+    assert_eq!(moved(&mut front, SECOND / 5).len(), 3, "at the end they are");
+}
+
+#[test]
+fn one_that_left_long_ago_is_back() {
+    let mut front = front(2, 3);
+    front.on(Event::Peer { from: 1, bytes: vec![1] });
+    front.on(Event::Leaving { from: front.now + 6 * SECOND, by: front.now + 9 * SECOND });
+    assert_eq!(moved(&mut front, 7 * SECOND).len(), 3);
+}
+
+/// Guards against a request that the end finds without an answer: one whose prompt is being read is refused,
+/// and its attempt called off.
+#[test]
+fn what_has_no_answer_yet_gets_its_final_one_by_the_end() {
+    let mut front = front(1, 0);
+    let before = front.pass(BY - SECOND / 10);
+    assert!(before.iter().all(|(_, a)| !matches!(a, Action::Shed { .. } | Action::Abort { .. })));
+    assert!(before.iter().any(|(_, a)| matches!(a, Action::Publish { to: None, .. })), "the others are told");
+    let end: Vec<_> = front.pass(SECOND / 5).into_iter().map(|(_, a)| a).collect();
+    let id = RequestId(0);
+    assert!(end.contains(&Action::Abort { id, attempt: 0 }));
+    assert_eq!(end.iter().filter(|a| matches!(a, Action::Shed { id: RequestId(0), .. })).count(), 1);
+    let late = front.ask(ask(9, front.now));
+    let after = late.into_iter().chain(front.pass(SECOND / 10).into_iter().map(|(_, a)| a));
+    assert!(after.into_iter().any(|a| matches!(a, Action::Shed { id: RequestId(9), .. })), "nor later");
+}
