--- a/src/policy.rs
+++ b/src/policy.rs
@@ -576,9 +576,9 @@
         self.end(id);
     }
 
-    /// While the host leaves, the others are told, and streams are moved, the newest first: others may end by
-    /// themselves. Guards against clients that come again while no dispatcher takes them: none is moved while all
-    /// others are away too. At the end all is, and what has no answer gets its final one.
+    /// While the host leaves, the others are told, and streams are moved, the newest first: old ones may end
+    /// by themselves. Guards against clients that come again where nobody takes them: none is moved while all
+    /// others are away. At the end all is, and what has no answer gets its final one.
     fn on_leaving(&mut self, from: Micros, by: Micros) {
         if self.settings.peers {
             self.out.push(Action::Publish { to: None, bytes: vec![PEER_LEAVES] });
