Send unsafe requests to writers over new connections, and forgive dropped kept ones

The debug log: each reset came on a connection that had been kept for 0.11 to 0.7 s, all of the request written, so it may have run (upstream/mod.rs begin took any kept connection). Servers were also set aside for it (policy.rs judge), and reads crossed zones.

Now an attempt that must not run twice opens a connection; one that was kept and breaks without a word is told to the module, which does not hold it against the server. Checked: each part taken back fails the new test.

--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -11,8 +11,8 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cranetack::{
-    Action, Ask, CellId, ClassId, Event, HostId, KindId, ListForm, Load, Member, Micros, Outcome, Policy,
-    PrefixId, Readiness, RequestId, SessionId, Settings, Standing, ZoneId,
+    Action, Ask, CellId, ClassId, Effect, Event, HostId, KindId, ListForm, Load, Member, Micros, Outcome,
+    Policy, PrefixId, Readiness, RequestId, SessionId, Settings, Stage, Standing, ZoneId,
 };
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
@@ -159,7 +159,7 @@
 pub struct Ended {
     /// How.
     pub outcome: Outcome,
-    /// Prompt tokens found kept, or 1 where no state was there to fetch.
+    /// Prompt tokens found kept; or 1 where no state was there to fetch, or a kept connection had been dropped.
     pub info: u64,
     /// The server's report, if one came along.
     pub load: Option<Load>,
@@ -251,6 +251,8 @@
     pub host: Rc<Host>,
     /// When to give it up, unless its answer has begun.
     pub expire: Instant,
+    /// It must not run twice, so it had better not go over a connection that may break under it.
+    pub delicate: bool,
     /// What to send.
     pub message: Rc<Message>,
 }
@@ -649,12 +651,16 @@
         request.out = Some(Out { number, sent: now, host, streaming: false });
         request.last = Some(target.clone());
         request.released = false;
+        let effect = self.settings.classes.get(request.asked.class.0).map(|c| c.effect).unwrap_or_default();
+        let kind = self.members.get(&host).and_then(|m| self.settings.kinds.get(m.kind.0));
+        let reads = kind.is_some_and(|k| k.stage == Some(Stage::Read));
         let expire = if expire == 0 { request.valid_until } else { expire.min(request.valid_until) };
         self.outbound.send(Order {
             attempt: AttemptId { request: id, number },
             name: request.asked.name.clone(),
             host: target.clone(),
             expire: self.clock.instant(expire),
+            delicate: effect == Effect::Unsafe && !reads,
             message: request.asked.message.clone(),
         });
     }
--- a/router/src/upstream/link.rs
+++ b/router/src/upstream/link.rs
@@ -188,7 +188,8 @@
     sender: SendRequest<Full<Bytes>>,
     meter: Rc<Meter>,
     driver: JoinHandle<()>,
-    reused: bool,
+    /// For how long it had been kept when it was taken, if it has been used before.
+    idle: Option<Duration>,
     _place: OwnedSemaphorePermit,
 }
 
@@ -210,15 +211,20 @@
         &self.meter
     }
 
-    /// Whether it has been used before.
-    #[cfg(test)]
-    pub fn is_reused(&self) -> bool {
-        self.reused
+    /// For how long it had been kept, if it has been used before.
+    pub fn idle(&self) -> Option<Duration> {
+        self.idle
+    }
+
+    /// Whether it had been kept and has broken without a word: its worker had dropped it unseen, which says
+    /// nothing of the worker.
+    pub fn was_dropped(&self) -> bool {
+        self.idle.is_some() && self.meter.answers.borrow().is_between()
     }
 
     /// A kept connection may turn out to be closed before anything is written: then another one may be tried.
     pub fn was_stale(&self) -> bool {
-        self.reused && self.meter.untouched()
+        self.idle.is_some() && self.meter.untouched()
     }
 
     /// Closes the connection and waits until it is closed, so that what is sent next is no second copy.
@@ -264,12 +270,12 @@
         }
     }
 
-    /// A connection to the host that is ready for a request, by this instant.
+    /// A connection to the host that is ready for a request, by this instant: a kept one if there is one.
     pub async fn take(&self, host: &Host, until: Instant) -> Result<Link, NoLink> {
-        if let Some(link) = self.kept(host.id) {
-            return Ok(link);
+        match self.kept(host.id) {
+            Some(link) => Ok(link),
+            None => self.open(host, until).await,
         }
-        self.open(host, until).await
     }
 
     /// A kept connection, the one last used first.
@@ -278,7 +284,7 @@
         let links = idle.get_mut(&host)?;
         while let Some(Idle { mut link, since }) = links.pop() {
             if since.elapsed() < self.keep && link.sender.is_ready() {
-                link.reused = true;
+                link.idle = Some(since.elapsed());
                 link.meter.state.set(Written::Nothing);
                 return Some(link);
             }
@@ -286,7 +292,8 @@
         None
     }
 
-    async fn open(&self, host: &Host, until: Instant) -> Result<Link, NoLink> {
+    /// A new connection to the host, by this instant.
+    pub async fn open(&self, host: &Host, until: Instant) -> Result<Link, NoLink> {
         let until = until.min(Instant::now() + self.connect_timeout);
         if self.places.available_permits() == 0 {
             self.evict();
@@ -302,7 +309,7 @@
             http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(io).await.map_err(|_| NoLink)?;
         // How it ended shows at the request that it carried.
         let driver = tokio::task::spawn_local(async move { drop(connection.await) });
-        Ok(Link { host: host.id, sender, meter, driver, reused: false, _place: place })
+        Ok(Link { host: host.id, sender, meter, driver, idle: None, _place: place })
     }
 
     /// Keeps a connection whose request has been answered in full, if it stays usable: guards against a second
--- a/router/src/upstream/mod.rs
+++ b/router/src/upstream/mod.rs
@@ -208,8 +208,12 @@
         // this attempt gone. And what was never written whole has never run.
         if let Some(link) = slot {
             let ended = report.ended.outcome;
-            if matches!(ended, Outcome::Late | Outcome::Reset) && !link.meter().all_out() {
+            let (idle, all_out) = (link.idle(), link.meter().all_out());
+            tracing::debug!(id = %self.order.name, ?ended, ?idle, all_out, "a connection is given up");
+            if matches!(ended, Outcome::Late | Outcome::Reset) && !all_out {
                 report.ended = Outcome::NoConn.into();
+            } else if ended == Outcome::Reset && link.was_dropped() {
+                report.ended.info = 1;
             }
             link.close().await;
         }
@@ -270,7 +274,12 @@
 ) -> Begun {
     let none = || Begun::Ended(Outcome::NoConn.into());
     let answer = loop {
-        let Ok(link) = shared.links.take(&order.host, order.expire).await else { return none() };
+        // Workers drop kept connections unseen, and a request that is under way then may have run.
+        let link = match order.delicate {
+            true => shared.links.open(&order.host, order.expire).await,
+            false => shared.links.take(&order.host, order.expire).await,
+        };
+        let Ok(link) = link else { return none() };
         // A connection may have taken its time: what drains by now is sent nothing more.
         if !order.host.is_open() {
             shared.links.put(link).await;
--- a/router/src/upstream/model.rs
+++ b/router/src/upstream/model.rs
@@ -123,7 +123,7 @@
         match self.links.take(&self.hosts[host], until).await {
             Ok(link) => {
                 assert!(expected.is_some() || room, "no more than allowed");
-                assert_eq!(link.is_reused(), expected.is_some());
+                assert_eq!(link.idle().is_some(), expected.is_some());
                 let new = Known { host, cut: false, kept: false, since: Instant::now() };
                 self.out.push((link, expected.unwrap_or(new)));
             }
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -75,6 +75,8 @@
 pub struct Worker {
     pub address: SocketAddr,
     pub behaviour: Cell<Behaviour>,
+    /// Whether connections are dropped unseen once they have carried a request: the next one breaks.
+    pub drops: Cell<bool>,
     /// How long a request takes.
     pub takes: Cell<Duration>,
     pub seen: RefCell<Vec<Seen>>,
@@ -108,6 +110,7 @@
         let worker = Rc::new(Worker {
             address: listener.local_addr().unwrap(),
             behaviour: Cell::new(behaviour),
+            drops: Cell::default(),
             takes: Cell::new(Duration::from_millis(2)),
             seen: RefCell::default(),
             most_at_once: Cell::default(),
@@ -121,7 +124,18 @@
             while let Ok((stream, _)) = listener.accept().await {
                 let worker = here.clone();
                 let connection = spawn_local(async move {
-                    let service = service_fn(|request| worker.clone().serve(request));
+                    let used = Cell::new(false);
+                    let service = service_fn(|request: Request<Incoming>| {
+                        let room = request.uri().path().starts_with("/bootstrap/");
+                        let dropped = !room && used.replace(true) && worker.drops.get();
+                        let worker = worker.clone();
+                        async move {
+                            match dropped {
+                                true => Err(std::io::Error::other("dropped unseen")),
+                                false => worker.serve(request).await,
+                            }
+                        }
+                    });
                     let served = hyper::server::conn::http1::Builder::new()
                         .serve_connection(TokioIo::new(stream), service);
                     // An error here is how a connection is broken on purpose.
--- a/router/tests/platform.rs
+++ b/router/tests/platform.rs
@@ -164,6 +164,23 @@
     });
 }
 
+/// Guards against an `unsafe` request that fails for a kept connection its worker has dropped unseen: it goes over
+/// a new one. A read goes over a kept one, and is sent again at once: its worker is not set aside for that.
+#[test]
+fn connections_that_were_dropped_unseen_cost_no_request() {
+    run(async {
+        let (reader, writer, bed) = pair(Behaviour::Answer).await;
+        reader.drops.set(true);
+        writer.drops.set(true);
+        let mut client = Client::connect(bed.platform).await;
+        for round in 0..4 {
+            let (status, ..) = client.ask(&format!("r{round}"), "order", 400).await;
+            assert_eq!(status, 200, "round {round}");
+        }
+        assert_eq!((reader.began(CHAT), writer.began(CHAT)), (4, 4));
+    });
+}
+
 /// Guards against a restart that loses what was taken: it is answered, and kept connections are closed.
 #[test]
 fn the_end_answers_all_that_was_taken() {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -304,7 +304,8 @@
         host: HostId,
         /// How it ended.
         outcome: Outcome,
-        /// Prompt tokens found kept (read or served), or 1 where no state was there to fetch.
+        /// Prompt tokens found kept (read or served); with `Full`, 1 where no state was there to fetch; with
+        /// `Reset`, 1 where a kept connection had been dropped unseen, which says nothing of the server.
         info: u64,
         /// The request is over.
         no_more: bool,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -332,7 +332,8 @@
         request.ended |= no_more || outcome == Outcome::Good;
         self.uncount(sent);
         let no_state = outcome == Outcome::Full && info == 1;
-        if !no_state {
+        let dropped = outcome == Outcome::Reset && info == 1;
+        if !no_state && !dropped {
             self.judge(sent.host, Some(class), outcome);
         }
         if outcome == Outcome::HalfDone || (outcome == Outcome::Full && !no_state) {
