--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -527,6 +527,11 @@
             self.members.clear();
         }
         let members: Vec<Member> = listed.iter().map(|line| self.member(line)).collect();
+        // Machines are replaced by others for as long as the router runs: one that is gone is forgotten here.
+        self.members.retain(|_, member| member.readiness != Readiness::Gone);
+        for (id, _) in self.hosts.extract_if(|id, _| !self.members.contains_key(id)) {
+            self.outbound.close_idle(id);
+        }
         self.decide(Event::Members { form, members });
     }
 
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -169,7 +169,7 @@
         let phase = shutdown::phases(signal);
         let moves = config.settings.resume;
         let deadlines = config.facts.classes.iter().filter_map(ClassFacts::deadline);
-        let within = shutdown::answered_within(deadlines.max().unwrap_or_default());
+        let (moved, answered) = shutdown::moved_and_answered(deadlines.max().unwrap_or_default());
         let each = (config.limits.sockets - SPARE) / 2;
         let allowed = &config.facts.allowed;
         let options = upstream::Options {
@@ -199,7 +199,7 @@
             spawn_local(async move {
                 leaving.await;
                 let now = tokio::time::Instant::now();
-                handle.tell(Happening::Leaving(now + shutdown::ACCEPT_FOR, now + within));
+                handle.tell(Happening::Leaving(now + moved, now + answered));
             });
         }
         let readiness = front::Readiness::new(fresh, phase.clone());
--- a/router/src/shutdown.rs
+++ b/router/src/shutdown.rs
@@ -11,6 +11,8 @@
 const WAITED_FOR: Duration = Duration::from_millis(3_000);
 /// ... and by so much sooner all must be answered.
 const MARGIN: Duration = Duration::from_millis(400);
+/// For how long before that streams are moved, a few at a time.
+const MOVING: Duration = Duration::from_millis(1_000);
 
 /// How far the end has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -23,9 +25,11 @@
     Finishing,
 }
 
-/// For how long after the signal answers may be given, where a client waits for so long at the most.
-pub fn answered_within(longest: Duration) -> Duration {
-    longest.min(WAITED_FOR) + ACCEPT_FOR - MARGIN
+/// When streams may be moved from after the signal, and by when all must be answered, where a client waits for so
+/// long at the most. Most streams end by themselves before they need to be moved, which costs a read of all again.
+pub fn moved_and_answered(longest: Duration) -> (Duration, Duration) {
+    let answered = longest.min(WAITED_FOR) + ACCEPT_FOR - MARGIN;
+    (answered.saturating_sub(MOVING).max(ACCEPT_FOR), answered)
 }
 
 /// Starts the phases and returns where they can be seen. `signal` completes when the end is wanted.
--- a/router/src/upstream/link.rs
+++ b/router/src/upstream/link.rs
@@ -332,7 +332,17 @@
     /// Closes kept connections that are due or have been closed by their workers.
     pub fn retire(&self) {
         let keep = |i: &Idle| i.since.elapsed() < self.keep && !i.link.sender.is_closed();
-        self.idle.borrow_mut().values_mut().for_each(|links| links.retain(keep));
+        // Workers come and go: one without a connection has no entry.
+        self.idle.borrow_mut().retain(|_, links| {
+            links.retain(keep);
+            !links.is_empty()
+        });
+    }
+
+    /// Workers that have an entry.
+    #[cfg(test)]
+    pub fn known(&self) -> usize {
+        self.idle.borrow().len()
     }
 
     /// How many more connections there may be.
--- a/router/src/upstream/model.rs
+++ b/router/src/upstream/model.rs
@@ -94,6 +94,8 @@
             Step::Retire => {
                 self.links.retire();
                 self.idle.retain(Known::usable);
+                let hosts = [0, 1].map(|host| self.idle.iter().any(|k| k.host == host));
+                assert_eq!(self.links.known(), hosts.iter().filter(|known| **known).count());
             }
             Step::CloseIdle(host) => {
                 self.links.close_idle(self.hosts[host].id);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -748,9 +748,11 @@
         let turn = self.pace.ask_span as Micros * self.hosts.len() as Micros;
         let Some(host) = self.hosts.get_mut(&id) else { return };
         let (key, least) = match outcome {
+            // One success among errors is no recovery: guards against a server that answers errors at once, so
+            // that it looks idle and draws all that waits, time and again.
             Outcome::Good | Outcome::HalfDone => {
                 host.fails.remove(&None);
-                host.fails.remove(&class);
+                host.fails.entry(class).and_modify(|(fails, _)| *fails /= 2);
                 return;
             }
             Outcome::Bad | Outcome::Late => (class, turn),
