Call off attempts that wait in vain and may be repeated; forget machines in the module

Now one that may be repeated is called off when its server has answered what was sent 0.25 s after it, or neither probes nor anything else for 1.5 s. Policy::hosts forgets machines that are gone (it kept each that ever was, and spans grew with their number). Tests for these and for errors forgiven by halves; each part taken back fails one.

--- a/router/tests/core.rs
+++ b/router/tests/core.rs
@@ -20,6 +20,7 @@
     Withdraw(AttemptId),
     Place(String),
     Release(String),
+    Closed(HostId),
 }
 
 #[derive(Clone, Default)]
@@ -50,7 +51,9 @@
         self.note(Told::Release(name.to_string()));
     }
     fn probe(&mut self, _host: Rc<Host>) {}
-    fn close_idle(&mut self, _host: HostId) {}
+    fn close_idle(&mut self, host: HostId) {
+        self.note(Told::Closed(host));
+    }
     fn publish(&mut self, _to: Option<u32>, _bytes: Vec<u8>) {}
 }
 
@@ -259,3 +262,16 @@
     assert_eq!(bench.notes.take(), [], "nothing is sent to what drains or is gone");
     assert!(matches!(caller.answer().await.0, Answer::Refused(_)));
 }
+
+/// Guards against tables and connections kept for each machine that ever was.
+#[tokio::test(start_paused = true)]
+async fn a_machine_that_is_gone_is_forgotten_with_its_connections() {
+    let mut bench = Bench::new(Effect::Safe);
+    let reader = Host::new("reader", "127.0.0.1:1".parse().unwrap()).id;
+    bench.core.handle(Happening::Members(ListForm::Patch, vec![listed("reader", 0, Readiness::Gone)]));
+    assert_eq!(bench.notes.take(), [Told::Closed(reader)]);
+    bench.core.handle(Happening::Members(ListForm::Patch, vec![listed("writer", 1, Readiness::Draining)]));
+    assert_eq!(bench.notes.take(), [], "one that drains finishes what it has");
+    bench.core.handle(Happening::Members(ListForm::Whole, vec![listed("reader", 0, Readiness::Up)]));
+    assert_eq!(bench.notes.take().len(), 1);
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -63,6 +63,8 @@
 const PEER_LEAVES: u8 = 1; // what a dispatcher tells the others while it leaves ...
 const AWAY_FOR: Micros = 5_500_000; // ... and from its first word until others send clients there again (us)
 const MOVED_AT_ONCE: usize = 4; // streams moved at a look: each is read anew elsewhere
+const PASSED_BY: Micros = 250_000; // an attempt is lost if one sent so much later is answered (us) ...
+const MUTE_FOR: Micros = 1_500_000; // ... or if its server answers neither probes nor us for so long (us)
 const SUBSCRIBE_AGAIN: Micros = 500_000; // after a failed call for the list (us)
 
 const ANY_CLASS: ClassId = ClassId(usize::MAX);
@@ -85,6 +87,8 @@
     cold_turn: Micros, // while it is cold, our next send may go there at this time
     probed_at: Micros,
     refused_at: Micros,
+    answered: Micros, // when the latest of ours that it has answered was sent
+    mute: Micros,     // since when it has answered no probe, nor anything else
 }
 
 /// Admission, learnt from how long answers take: else a short excess becomes a queue in which all is late.
@@ -102,7 +106,7 @@
     established: bool,
     weight: f64,
     toward: Option<HostId>,
-    told: bool,
+    overdue: Option<bool>, // that it is has been learnt from, and whether it was called off
 }
 
 #[derive(Default)]
@@ -201,6 +205,10 @@
             Event::Probed { host, outcome, load, .. } => {
                 self.hear(host, load);
                 self.judge(host, None, outcome);
+                let good = outcome == Outcome::Good;
+                self.hosts
+                    .entry(host)
+                    .and_modify(|h| h.mute = if good { Micros::MAX } else { h.mute.min(now) });
                 let done = |r: &mut Request| r.look = r.look.filter(|(reader, _)| *reader != host);
                 self.requests.values_mut().for_each(done);
                 self.advance_waiting();
@@ -218,11 +226,7 @@
             let reads = Some(self.reader_half(&ask, *id, None, 0)).filter(|_| stage != Stage::Write);
             let writes = Some(self.writer_half(*id, &fleet, 0)).filter(|_| stage != Stage::Read);
             let sum = |part: fn(&Half) -> f64| reads.iter().chain(&writes).map(part).sum::<f64>();
-            let most = match stage {
-                Stage::Read => WEIGHTS[2],
-                Stage::Write => WEIGHTS[1] + WEIGHTS[3],
-                Stage::Both => WEIGHTS[1] + WEIGHTS[2] + WEIGHTS[3],
-            };
+            let most = reads.map_or(0.0, |_| WEIGHTS[2]) + writes.map_or(0.0, |_| WEIGHTS[1] + WEIGHTS[3]);
             let fresh = reads.iter().chain(&writes).all(|h| h.fresh);
             let takes = self.takes(*id, ANY_CLASS) && fresh && sum(|h| h.load) <= TAU;
             Standing { host: *id, takes, worth: (sum(|h| h.worth) / most).clamp(0.0, 1.0) }
@@ -246,7 +250,8 @@
             self.out.push(Action::Sleep { at: self.now + SUBSCRIBE_AGAIN, key: KEY_SUBSCRIBE });
         }
         if matches!(form, ListForm::Whole | ListForm::Stale) {
-            self.hosts.values_mut().for_each(|h| h.listed = false);
+            let gone = |h: &mut Host| (h.listed, h.member.readiness) = (false, Readiness::Gone);
+            self.hosts.values_mut().for_each(gone);
         }
         for member in members {
             let started = self.hosts.get(&member.host).map(|h| h.member.last_start);
@@ -259,6 +264,9 @@
                 self.hosts.entry(member.host).and_modify(|h| h.cold_turn = turn);
             }
         }
+        // Machines are replaced by others for as long as this lives: one that is gone is kept while in use.
+        let in_use = |h: &Host| h.held[0] + h.held[1] + h.coming > 0.01;
+        self.hosts.retain(|_, h| h.member.readiness != Readiness::Gone || in_use(h));
         self.advance_waiting();
     }
 
@@ -280,8 +288,7 @@
     }
 
     /// Probes the reader that a request would go to and waits for its report. Guards against readers that
-    /// jammed unseen, of which each of many dispatchers would learn alone; covers silent and restarted ones.
-    /// It could hurt where probes are served in turn: each read starts later.
+    /// jammed unseen, also silent and restarted ones. It could hurt where probes are served in turn.
     fn look(&mut self, id: RequestId) {
         let may = self.settings.probing && self.pace.probes >= 1.0;
         let Some((reader, _)) = Some(id).filter(|_| may).and_then(|id| self.choose_lane(id)) else { return };
@@ -321,6 +328,7 @@
         }
         let class = request.ask.class;
         self.judge(host, Some(class), Outcome::Good);
+        self.hosts.entry(host).and_modify(|h| h.answer(sent.sent));
         self.learn_limit(id, sent, false);
     }
 
@@ -336,6 +344,9 @@
         if !no_state && !dropped {
             self.judge(sent.host, Some(class), outcome);
         }
+        if matches!(outcome, Outcome::HalfDone | Outcome::Full | Outcome::Bad) {
+            self.hosts.entry(sent.host).and_modify(|h| h.answer(sent.sent));
+        }
         if outcome == Outcome::HalfDone || (outcome == Outcome::Full && !no_state) {
             self.learn_limit(id, sent, outcome == Outcome::Full);
         }
@@ -405,9 +416,7 @@
         self.out.push(Action::Sleep { at: self.now + TICK, key: KEY_TICK });
         self.watch();
         self.advance_waiting();
-        if let Some((from, by)) = self.leaving {
-            self.on_leaving(from, by);
-        }
+        self.on_leaving();
         let longest = self.hosts.iter().filter(|(_, h)| h.listed).min_by_key(|(_, h)| h.probed_at);
         if let Some((id, _)) = longest.filter(|(_, h)| self.now >= h.probed_at + PROBE_EVERY) {
             self.probe(*id);
@@ -455,8 +464,7 @@
     }
 
     /// Whether the `turn`-th that waits may still be answered in time. Guards against requests that lie here
-    /// without hope while their clients could ask elsewhere; covers jumps of traffic and lost servers. It
-    /// could hurt where room opens all at once after a stop: some would have made it.
+    /// in vain: clients could ask elsewhere. It could hurt where room opens all at once after a stop.
     fn has_chance(&self, ask: &Ask, turn: usize) -> bool {
         let wait = self.room_wait(turn) as f64 + self.pace.lead / LEAD_SAFETY * FAIR_LEAD;
         self.now as f64 + wait < self.last_call(ask) as f64
@@ -508,14 +516,12 @@
         host.held[0] += weight;
         host.held[1] += f64::from(u8::from(stage != Stage::Read));
         let Some(request) = self.requests.get_mut(&id) else { return false };
-        let (attempt, sent, established, told) = (request.attempts, self.now, false, false);
-        request.out = Some(Out { attempt, host: to, stage, sent, established, weight, toward, told });
+        let (attempt, sent, established, overdue) = (request.attempts, self.now, false, None);
+        request.out = Some(Out { attempt, host: to, stage, sent, established, weight, toward, overdue });
         request.attempts += 1;
         request.first_sent.get_or_insert(self.now);
         request.holds = true;
-        if let Some(writer) = toward.and_then(|w| self.hosts.get_mut(&w)) {
-            writer.coming += 1.0;
-        }
+        toward.and_then(|w| self.hosts.get_mut(&w)).into_iter().for_each(|w| w.coming += 1.0);
         self.waiting.remove(&id);
         if stage != Stage::Write {
             self.pace.room_span += ((self.now - self.pace.room_at) as f64 - self.pace.room_span) * ROOM_STEP;
@@ -580,33 +586,34 @@
     /// While the host leaves, the others are told, and streams are moved, the newest first: old ones may end
     /// by themselves. Guards against clients that come again where nobody takes them: none is moved while all
     /// others are away. At the end all is, and what has no answer gets its final one.
-    fn on_leaving(&mut self, from: Micros, by: Micros) {
+    fn on_leaving(&mut self) {
+        let Some((from, by)) = self.leaving else { return };
         if self.settings.peers {
             self.out.push(Action::Publish { to: None, bytes: vec![PEER_LEAVES] });
         }
-        let (now, others) = (self.now, self.settings.balancers.unwrap_or(1).saturating_sub(1));
-        let away = self.away.values().filter(|until| now < **until).count();
-        let most = if now >= by { usize::MAX } else { MOVED_AT_ONCE };
-        if now >= by || (now >= from && away < others as usize) {
-            let streams =
-                self.requests.iter().filter(|(_, r)| !r.ended && r.out.is_some_and(|o| o.established));
-            let moved = streams.rev().take(most).map(|(id, _)| Action::Bounce(*id));
-            self.out.extend(moved.filter(|_| self.settings.resume));
-        }
-        let waits = |r: &Request| !r.ended && r.out.is_none_or(|o| !o.established);
-        let open = self.requests.iter().filter(|(_, r)| now >= by && waits(r)).map(|(id, r)| (*id, r.out));
+        let others = self.settings.balancers.map_or(0, |b| b as usize).saturating_sub(1);
+        let away = self.away.values().filter(|until| self.now < **until).count();
+        let end = self.now >= by;
+        let may = self.settings.resume && (end || (self.now >= from && away < others));
+        let mut left = if end { usize::MAX } else { MOVED_AT_ONCE * usize::from(may) };
+        let open = self.requests.iter().rev().filter(|(_, r)| !r.ended).map(|(id, r)| (*id, r.out));
         for (id, out) in open.collect::<Vec<_>>() {
-            let called_off = out.filter(|_| self.settings.cancelling);
-            self.out.extend(called_off.map(|out| Action::Abort { id, attempt: out.attempt }));
-            self.give_up(id);
+            if out.is_some_and(|o| o.established) {
+                self.out.extend((may && left > 0).then_some(Action::Bounce(id)));
+                left = left.saturating_sub(1);
+            } else if end {
+                let out = out.filter(|_| self.settings.cancelling);
+                self.out.extend(out.map(|out| Action::Abort { id, attempt: out.attempt }));
+                self.give_up(id);
+            }
         }
     }
 
     fn on_peer(&mut self, from: u32, bytes: &[u8]) {
-        if bytes == [PEER_LEAVES] && self.settings.me != Some(from) {
-            self.away.entry(from).or_insert(self.now + AWAY_FOR);
+        let until = self.away.entry(from).or_insert(self.now);
+        if bytes == [PEER_LEAVES] && self.settings.me != Some(from) && self.now >= *until {
+            *until = self.now + AWAY_FOR;
         }
-        self.away.retain(|_, until| self.now < *until);
     }
 
     /// Nobody waits for the answer: what is out is called off and its state let go when its result comes.
@@ -662,7 +669,7 @@
         // What has not begun at a writer waits for a slot; at a mixed server it is being read.
         let queued = |o: &&Out| late && sent.stage == Stage::Write && o.host == sent.host && !o.established;
         let queue = self.requests.values().filter_map(|r| r.out.as_ref()).filter(queued).count() as f64;
-        if sent.stage != Stage::Write && !sent.told {
+        if sent.stage != Stage::Write && sent.overdue.is_none() {
             self.learn_spread(sent.host, late);
         }
         for (part, other) in [(0, Stage::Write), (1, Stage::Read)] {
@@ -671,8 +678,9 @@
             let held = [host.held[0] + sent.weight, (host.held[1] - queue).max(0.0)][part];
             host.limits[part].learn(self.now, sent.sent, held, late, LIMIT_MOST[part]);
             let (limit, share) = &mut self.pools[part];
-            *share += if sent.told { 0.0 } else { (f64::from(u8::from(late)) - *share) * POOL_STEP };
-            if !sent.told && (!late || *share > POOL_LATE) {
+            *share +=
+                if sent.overdue.is_some() { 0.0 } else { (f64::from(u8::from(late)) - *share) * POOL_STEP };
+            if sent.overdue.is_none() && (!late || *share > POOL_LATE) {
                 limit.learn(self.now, sent.sent, ours[part], late, f64::MAX);
                 limit.most = limit.most.max(POOL_LEAST[part] * servers / balancers);
             }
@@ -680,9 +688,8 @@
     }
 
     /// As far as reads are late in our zone or at one kind and not elsewhere, homes go there (see `home`).
-    /// Guards against a zone or kind that is given more than it bears, which none of many dispatchers sees in
-    /// its own few reads; covers slow, silent and half lost ones. It could hurt where lateness comes with
-    /// some clients (huge prompts): homes move and find nothing kept.
+    /// Guards against a zone or kind given more than it bears, which none of many dispatchers sees in its few
+    /// reads. It could hurt where lateness comes with some clients (huge prompts): homes find nothing kept.
     fn learn_spread(&mut self, host: HostId, late: bool) {
         let Some(host) = self.hosts.get(&host) else { return };
         let far = self.settings.zone != Some(host.member.zone);
@@ -699,14 +706,29 @@
 
     /// Attempts that are overdue tell of a server's limit before they end: a silent server's falls too.
     fn watch(&mut self) {
-        let waits = |r: &Request| r.out.filter(|o| !o.established && !o.told);
+        let waits = |r: &Request| r.out.filter(|o| !o.established && o.overdue != Some(true));
         let out = self.requests.iter().filter_map(|(id, r)| Some((*id, waits(r)?)));
         for (id, sent) in out.filter(|(id, sent)| self.overdue(*id, *sent)).collect::<Vec<_>>() {
-            self.learn_limit(id, sent, true);
-            self.requests.entry(id).and_modify(|r| r.out = Some(Out { told: true, ..sent }));
+            if sent.overdue.is_none() {
+                self.learn_limit(id, sent, true);
+            }
+            let lost = self.is_lost(id, sent);
+            self.out.extend(lost.then_some(Action::Abort { id, attempt: sent.attempt }));
+            self.requests.entry(id).and_modify(|r| r.out = Some(Out { overdue: Some(lost), ..sent }));
         }
     }
 
+    /// Whether one that may be repeated waits in vain: its server answered what was sent well after it, or
+    /// nothing for long. Guards against silent connections. It could hurt where answers come out of turn.
+    fn is_lost(&self, id: RequestId, sent: Out) -> bool {
+        let (request, host) = (&self.requests[&id], self.hosts.get(&sent.host));
+        let effect = self.class(&request.ask).map(|c| c.effect).unwrap_or_default();
+        let repeats = sent.stage == Stage::Read || effect == Effect::Safe;
+        let more = request.attempts + 1 < self.settings.max_attempts.unwrap_or(ATTEMPTS_MOST);
+        let lost = |h: &Host| h.answered > sent.sent + PASSED_BY || self.now - MUTE_FOR > h.mute;
+        self.settings.cancelling && repeats && more && host.is_some_and(lost)
+    }
+
     fn overdue(&self, id: RequestId, sent: Out) -> bool {
         let span = self.requests.get(&id).map_or(AIM, |r| self.aim_span(&r.ask));
         (self.now - sent.sent) as f64 > span as f64 * LATE[sent.stage as usize]
@@ -748,8 +770,7 @@
         let turn = self.pace.ask_span as Micros * self.hosts.len() as Micros;
         let Some(host) = self.hosts.get_mut(&id) else { return };
         let (key, least) = match outcome {
-            // One success among errors is no recovery: guards against a server that answers errors at once, so
-            // that it looks idle and draws all that waits, time and again.
+            // One success is no recovery: a server that errs at once looks idle and draws all that waits.
             Outcome::Good | Outcome::HalfDone => {
                 host.fails.remove(&None);
                 host.fails.entry(class).and_modify(|(fails, _)| *fails /= 2);
@@ -779,9 +800,7 @@
     }
 
     fn uncount(&mut self, sent: Out) {
-        if let Some(writer) = sent.toward.and_then(|w| self.hosts.get_mut(&w)) {
-            writer.coming -= 1.0;
-        }
+        sent.toward.and_then(|w| self.hosts.get_mut(&w)).into_iter().for_each(|w| w.coming -= 1.0);
         if let Some(host) = self.hosts.get_mut(&sent.host) {
             host.held[0] = (host.held[0] - if sent.established { 0.0 } else { sent.weight }).max(0.0);
             host.held[1] -= f64::from(u8::from(sent.stage != Stage::Read));
@@ -832,7 +851,7 @@
     /// The writer for a state that waits at `reader`: the held place, else the best by the lane score.
     fn choose_writer(&mut self, id: RequestId, reader: HostId) -> Option<HostId> {
         let salt = self.rng.next_u64();
-        let request = self.requests.get(&id)?;
+        let (request, _) = (self.requests.get(&id)?, self.hosts.get(&reader)?);
         let ask = request.ask;
         if let Some(place) = request.place.filter(|w| self.takes(*w, ask.class)) {
             return Some(place);
@@ -840,7 +859,7 @@
         let fleet = self.fleet();
         let half = Half { load: 0.0, fresh: true, whole: false, ..self.reader_half(&ask, reader, None, 0) };
         let hosts = self.hosts.iter().filter(|(_, h)| self.stage(h) != Stage::Read).map(|(id, _)| *id);
-        let of = |id: HostId| Half { whole: false, ..self.writer_half(id, &fleet, mix(salt ^ id.0) as u32) };
+        let of = |id| Half { whole: false, ..self.writer_half(id, &fleet, mix(salt ^ id.0) as u32) };
         let writers: Vec<_> = hosts.filter(|id| self.takes(*id, ask.class)).map(of).collect();
         best_lane(&[half], &writers, 1).map(|(_, writer)| writer)
     }
@@ -1054,9 +1073,15 @@
             cold_turn: Micros::MIN,
             probed_at: Micros::MIN / 2,
             refused_at: Micros::MIN / 2,
+            answered: Micros::MIN,
+            mute: Micros::MAX,
         }
     }
 
+    fn answer(&mut self, sent: Micros) {
+        (self.answered, self.mute) = (self.answered.max(sent), Micros::MAX);
+    }
+
     fn figures(&self) -> [Option<f64>; 2] {
         let sane = |v: Option<f64>| v.filter(|v| v.is_finite()).map(|v| v.clamp(0.0, 1.0));
         self.load.map_or([None; 2], |(_, load)| [sane(load.memory), sane(load.util)])
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -468,3 +468,96 @@
     }
     assert_eq!(lane(&[(99, 0.5)]), unheard, "a server that no list has named");
 }
+
+/// Those called off, in order.
+fn aborts(actions: impl IntoIterator<Item = (Micros, Action)>) -> Vec<u32> {
+    let abort = |(_, action): (Micros, Action)| match action {
+        Action::Abort { id, .. } => Some(id.0),
+        _ => None,
+    };
+    actions.into_iter().filter_map(abort).collect()
+}
+
+/// Guards against a read that waits for its deadline on a connection that fell silent: its reader has answered
+/// what came well after it, so it is called off and sent again. One that nothing has passed may just be slow.
+#[test]
+fn a_read_that_later_ones_have_passed_is_called_off() {
+    for passed in [true, false] {
+        let (mut front, _) = Front::new(settings(Effect::Unsafe), pair());
+        assert_eq!(routes(&front.ask(ask(1, START))), [(1, READER)]);
+        front.pass(SECOND / 2);
+        front.ask(ask(2, front.now));
+        if passed {
+            front.on(result(2, 0, READER, Outcome::HalfDone));
+            front.on(Event::Established { id: RequestId(2), attempt: 1, host: HostId(WRITER), spent: 1 });
+        }
+        assert_eq!(aborts(front.pass(2 * SECOND)), if passed { vec![1] } else { vec![] });
+        let again = routes(&front.on(result(1, 0, READER, Outcome::Cancelled)));
+        assert!(!passed || again == [(1, READER)]);
+    }
+}
+
+/// The same at a writer, where only what may run twice is called off.
+#[test]
+fn an_answer_that_later_ones_have_passed_is_called_off_if_it_may_run_twice() {
+    for (effect, called_off) in [(Effect::Safe, vec![1]), (Effect::Unsafe, vec![])] {
+        let (mut front, _) = Front::new(settings(effect), pair());
+        [1, 2].map(|id| front.ask(ask(id, START)));
+        for id in [1, 2] {
+            front.on(result(id, 0, READER, Outcome::HalfDone));
+            front.pass(SECOND / 3);
+        }
+        front.on(Event::Established { id: RequestId(2), attempt: 1, host: HostId(WRITER), spent: 1 });
+        assert_eq!(aborts(front.pass(2 * SECOND)), called_off);
+    }
+}
+
+/// Guards against reads that wait at a machine that has vanished: it answers probes no more, nor anything else.
+#[test]
+fn reads_at_a_server_that_answers_nothing_are_called_off() {
+    let probing = Settings { probing: true, reporting: Reporting::OnProbe, ..settings(Effect::Safe) };
+    let (mut front, _) = Front::new(probing, pair());
+    let probed = |outcome| Event::Probed { host: HostId(READER), outcome, spent: 1, load: None };
+    front.ask(ask(1, START));
+    front.on(probed(Outcome::Good));
+    front.on(probed(Outcome::Late));
+    assert_eq!(aborts(front.pass(SECOND)), [0; 0]);
+    assert_eq!(aborts(front.pass(SECOND)), [1]);
+}
+
+/// Guards against a server that errs at once, so that it looks idle and draws all that waits: one success among
+/// its errors does not clear it.
+#[test]
+fn a_success_among_errors_does_not_bring_a_server_back_at_once() {
+    let members = vec![member(READER, 0, 0), member(WRITER, 1, 0), member(3, 0, 0)];
+    let (mut front, _) = Front::new(settings(Effect::Safe), members);
+    let mut at_reader = Vec::new();
+    for id in 0..8 {
+        let sent = routes(&front.ask(ask(id, front.now)));
+        at_reader.extend(sent.iter().filter(|(_, host)| *host == READER).map(|(id, _)| *id));
+    }
+    assert!(at_reader.len() >= 3, "{at_reader:?}");
+    let good = at_reader.pop().unwrap();
+    at_reader.iter().for_each(|id| drop(front.on(result(*id, 0, READER, Outcome::Bad))));
+    front.on(result(good, 0, READER, Outcome::HalfDone));
+    assert_eq!(routes(&front.ask(ask(20, front.now))), [(20, 3)]);
+}
+
+/// Guards against tables that grow with each machine that ever was.
+#[test]
+fn machines_that_are_gone_are_forgotten_once_nothing_is_out_there() {
+    let (mut front, _) = Front::new(settings(Effect::Safe), pair());
+    assert_eq!(routes(&front.ask(ask(1, START))), [(1, READER)]);
+    for host in 10..30 {
+        let gone = Member { readiness: Readiness::Gone, ..member(host - 1, 0, 0) };
+        let form = ListForm::Patch;
+        front.on(Event::Members { form, members: vec![member(host, 0, 0), gone] });
+    }
+    assert_eq!(front.policy.standings(front.now).len(), 3);
+    let members = vec![member(WRITER, 1, 0), member(29, 0, 0)];
+    front.on(Event::Members { form: ListForm::Whole, members });
+    assert_eq!(front.policy.standings(front.now).len(), 3, "one is still out at the reader");
+    assert_eq!(routes(&front.on(result(1, 0, READER, Outcome::HalfDone))), [(1, WRITER)]);
+    front.on(Event::Members { form: ListForm::Patch, members: vec![] });
+    assert_eq!(front.policy.standings(front.now).len(), 2);
+}
