Hold less memory: smaller buffers, four kept links a worker, bodies let go

Change: read-ahead is at most 16 KiB on both sides (longer heads get 431), four connections are kept to a worker, and core and upstream drop a request's body once its answer has begun.

--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -483,6 +483,8 @@
         let Some(request) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
         let Some(out) = request.out.as_mut().filter(|o| o.number == attempt.number) else { return };
         out.streaming = true;
+        // Nothing further is sent for it: its body need not be held while the answer streams.
+        request.asked.message = Rc::default();
         let (host, spent) = (out.host, now - out.sent);
         if let Some(carrier) = request.carrier.take() {
             carrier.answer(Answer::Served { media_type, parts });
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -13,7 +13,7 @@
 const PARTS_WAITING: usize = 32;
 
 /// What a server is to be sent, as it came in.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Message {
     /// The target of the request: its path and query.
     pub target: String,
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -32,8 +32,9 @@
 
 /// The most that a request's body may hold.
 const BODY_MOST: usize = 256 * 1024;
-/// The most that is read ahead on a connection, and so the longest head of a request.
-const BUFFER_MOST: usize = 64 * 1024;
+/// The most that is read ahead on a connection, and so the longest head of a request. A kept connection goes on
+/// holding as much as its last body made it read at once: memory would grow with those that ask once and stay.
+const BUFFER_MOST: usize = 16 * 1024;
 /// Between two looks for connections that are due.
 const SWEEP_EVERY: Duration = Duration::from_millis(100);
 /// After a failure to accept: descriptors may be short for a while.
--- a/router/src/upstream/link.rs
+++ b/router/src/upstream/link.rs
@@ -255,7 +255,9 @@
 /// How long a worker may take to go on with the head or the part of an answer that it has begun.
 const STALL: Duration = Duration::from_millis(1_000);
 /// The most that is read ahead on a connection, and so the longest head of an answer.
-const BUFFER_MOST: usize = 64 * 1024;
+const BUFFER_MOST: usize = 16 * 1024;
+/// Connections that are kept to a worker: each holds a descriptor and buffers.
+const KEPT_MOST: usize = 4;
 /// How long a connection may take to finish a message that has been answered before it is kept.
 const SETTLE: Duration = Duration::from_millis(50);
 
@@ -319,8 +321,13 @@
             return;
         }
         if let Ok(Ok(())) = timeout(SETTLE, link.sender.ready()).await {
-            let host = link.host;
-            self.idle.borrow_mut().entry(host).or_default().push(Idle { link, since: Instant::now() });
+            let mut idle = self.idle.borrow_mut();
+            let kept = idle.entry(link.host).or_default();
+            // The one last used is taken first, so those that have waited longest are of no use.
+            if kept.len() == KEPT_MOST {
+                kept.remove(0);
+            }
+            kept.push(Idle { link, since: Instant::now() });
         }
     }
 
@@ -362,6 +369,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::common::{run, Behaviour, Worker};
 
     /// Guards against an `unsafe` request that is sent twice: its last byte must be seen wherever writes split.
     #[test]
@@ -381,4 +389,23 @@
             }
         }
     }
+
+    /// Guards against descriptors and buffers held for connections that a burst has left behind.
+    #[test]
+    fn few_connections_are_kept_to_a_worker() {
+        run(async {
+            let worker = Worker::start(1, Behaviour::Answer).await;
+            let host = Host::new("a", worker.address);
+            let links = Links::new(9, Duration::from_secs(1), Duration::from_secs(60));
+            let until = Instant::now() + Duration::from_secs(9);
+            let mut taken = Vec::new();
+            for _ in 0..2 * KEPT_MOST {
+                taken.push(links.take(&host, until).await.unwrap());
+            }
+            for link in taken {
+                links.put(link).await;
+            }
+            assert_eq!(links.free(), 9 - KEPT_MOST);
+        });
+    }
 }
--- a/router/src/upstream/mod.rs
+++ b/router/src/upstream/mod.rs
@@ -200,6 +200,7 @@
         };
         report.ended = match begun {
             Begun::Streams { body, first, media_type } => {
+                self.order.message = Rc::default();
                 self.stream(body, first, media_type, &mut slot).await
             }
             Begun::Ended(ended) => ended,
--- a/router/tests/core.rs
+++ b/router/tests/core.rs
@@ -135,8 +135,11 @@
 }
 
 fn hand_in(handle: &Handle, name: &str) -> Caller {
-    let message = Message { target: "/x".to_owned(), media_type: "text/plain".to_owned(), body: "".into() };
-    handle.ask(Asked {
+    handle.ask(asked(name))
+}
+
+fn asked(name: &str) -> Asked {
+    Asked {
         name: name.into(),
         class: ClassId(0),
         session: None,
@@ -148,8 +151,8 @@
         max_tokens: 10,
         retry: false,
         came_back: false,
-        message: Rc::new(message),
-    })
+        message: Rc::default(),
+    }
 }
 
 fn attempt(number: u32) -> AttemptId {
@@ -264,6 +267,21 @@
     assert!(matches!(caller.answer().await.0, Answer::Refused(_)));
 }
 
+/// Guards against memory held for bodies while their answers stream: nothing further is sent for them.
+#[tokio::test(start_paused = true)]
+async fn a_body_is_let_go_once_its_answer_has_begun() {
+    let mut bench = Bench::new(Effect::Safe);
+    let message = Rc::new(Message { target: "/x".to_owned(), ..Message::default() });
+    let _caller = bench.handle.ask(Asked { message: message.clone(), ..asked("q") });
+    bench.drain();
+    bench.ended(0, Outcome::HalfDone);
+    assert_eq!(Rc::strong_count(&message), 2);
+    let (_sink, parts) = exchange::stream();
+    let media_type = "text/event-stream".to_owned();
+    bench.core.handle(Happening::Established { attempt: attempt(1), media_type, parts });
+    assert_eq!(Rc::strong_count(&message), 1);
+}
+
 /// Guards against tables and connections kept for each machine that ever was.
 #[tokio::test(start_paused = true)]
 async fn a_machine_that_is_gone_is_forgotten_with_its_connections() {
--- a/router/tests/platform.rs
+++ b/router/tests/platform.rs
@@ -351,6 +351,7 @@
             (format!("{head}content-length: 9\r\n\r\n{{"), "HTTP/1.1 408 "),
             (format!("{head}content-length: 60000000\r\n\r\n{{"), "HTTP/1.1 413 "),
             (format!("{head}content-length: -1\r\n\r\n"), "HTTP/1.1 400 "),
+            (format!("{head}x-long: {}", "x".repeat(20_000)), "HTTP/1.1 431 "),
             ("\u{1}\u{2}\r\n\r\n".to_owned(), "HTTP/1.1 400 "),
         ]
         .map(|(text, answer)| {
