Build the second front anew: typed messages, a batch engine, one account of bytes

Need: the front took three paths and 256 KiB a body, read bodies into trees of values, knew no models, did not tell a whole answer from a stream, threw finished slices away when one failed, and found out at the deadline that a batch could not end in time.

Change: inference/ holds the API's messages without I/O, bounded before they are decoded, with every wrong field named; batching/ decides slice sizes from measured time, turns by deficit round robin, the window of slices out, the budget for repeats and refusals without hope, checked against a model with random steps; the front joins both to the core, folds streams for clients that want whole answers, ends broken streams with the error, and claims all bytes from one account. Stand-ins are a package of their own, so the router's library and its tests no longer include one another.

--- /dev/null
+++ b/batching/src/turns.rs
@@ -0,0 +1,192 @@
+//! Turns among batches by deficit round robin over tokens: each flow gets as many tokens as any other of its
+//! weight, whatever the length of its batches or the size of their slices, and within a flow batches take turns.
+
+use std::collections::{HashMap, VecDeque};
+
+/// Whose turn it is: a class of request and a tenant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Flow {
+    /// The class.
+    pub class: u32,
+    /// The tenant, by a number that the caller gives; 0 where there are none.
+    pub tenant: u64,
+}
+
+#[derive(Debug, Default)]
+struct Queue {
+    /// Tokens that the flow may still take in this round; below zero is a debt.
+    deficit: i64,
+    ready: VecDeque<u64>,
+    /// Whether it stands in the ring, and has had its tokens of this visit.
+    in_ring: bool,
+    visited: bool,
+}
+
+/// Flows that are remembered for what they owe alone.
+const DEBTORS_MOST: usize = 1_024;
+
+/// Flows that have batches ready, and those that owe tokens.
+#[derive(Debug)]
+pub struct Turns {
+    quantum: i64,
+    flows: HashMap<Flow, Queue>,
+    ring: VecDeque<Flow>,
+}
+
+impl Turns {
+    /// Turns in which a flow gets so many tokens a round.
+    pub fn new(quantum: u64) -> Turns {
+        let quantum = i64::try_from(quantum.max(1)).unwrap_or(i64::MAX);
+        Turns { quantum, flows: HashMap::new(), ring: VecDeque::new() }
+    }
+
+    /// A batch of this flow is ready to send.
+    pub fn push(&mut self, flow: Flow, batch: u64) {
+        if self.flows.len() > self.ring.len() + DEBTORS_MOST {
+            self.settle();
+        }
+        let queue = self.flows.entry(flow).or_default();
+        queue.ready.push_back(batch);
+        if !queue.in_ring {
+            (queue.in_ring, queue.visited) = (true, false);
+            self.ring.push_back(flow);
+        }
+    }
+
+    /// The batch whose turn it is. `tokens` tells the size of its next slice, `None` that it is no longer there.
+    pub fn next(&mut self, mut tokens: impl FnMut(u64) -> Option<u64>) -> Option<u64> {
+        loop {
+            let flow = *self.ring.front()?;
+            let Some(queue) = self.flows.get_mut(&flow) else {
+                self.ring.pop_front();
+                continue;
+            };
+            let size = loop {
+                let Some(batch) = queue.ready.front() else { break None };
+                match tokens(*batch) {
+                    Some(size) => break Some(i64::try_from(size).unwrap_or(i64::MAX)),
+                    None => drop(queue.ready.pop_front()),
+                }
+            };
+            let Some(size) = size else {
+                // A flow with nothing ready saves nothing; what it owes it goes on owing, for it comes back.
+                self.ring.pop_front();
+                queue.in_ring = false;
+                queue.deficit = queue.deficit.min(0);
+                if queue.deficit == 0 {
+                    self.flows.remove(&flow);
+                }
+                continue;
+            };
+            if !queue.visited {
+                queue.visited = true;
+                queue.deficit = queue.deficit.saturating_add(self.quantum);
+            }
+            if queue.deficit > 0 {
+                // It may take more than it has, and owes the rest: a slice larger than a round is not held up.
+                queue.deficit = queue.deficit.saturating_sub(size);
+                return queue.ready.pop_front();
+            }
+            queue.visited = false;
+            self.ring.rotate_left(1);
+            // Where all owe, rounds without a turn are skipped.
+            if self.ring.iter().all(|f| self.flows.get(f).is_some_and(|q| q.deficit + self.quantum <= 0)) {
+                self.forgive();
+            }
+        }
+    }
+
+    /// Passes as many rounds at once as leave the flow that owes least with a turn.
+    fn forgive(&mut self) {
+        let owed = self.ring.iter().filter_map(|f| self.flows.get(f)).map(|q| q.deficit).max().unwrap_or(0);
+        let rounds = -owed / self.quantum;
+        for queue in self.flows.values_mut().filter(|q| q.deficit < 0) {
+            queue.deficit = (queue.deficit + rounds * self.quantum).min(0);
+        }
+    }
+
+    /// Flows that it knows.
+    pub fn known(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Forgets what flows owe that have nothing ready: to be called when nothing is open.
+    pub fn settle(&mut self) {
+        self.flows.retain(|_, queue| !queue.ready.is_empty());
+        self.ring.retain(|flow| self.flows.contains_key(flow));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const fn flow(tenant: u64) -> Flow {
+        Flow { class: 0, tenant }
+    }
+
+    /// Plays turns in which a batch is ready again as soon as it has been served; gives each flow's tokens.
+    fn play(batches: &[(u64, u64, u64)], quantum: u64, turns: usize) -> HashMap<u64, u64> {
+        let mut given = HashMap::new();
+        let mut all = Turns::new(quantum);
+        batches.iter().for_each(|(batch, tenant, _)| all.push(flow(*tenant), *batch));
+        for _ in 0..turns {
+            let size = |batch: u64| batches.iter().find(|b| b.0 == batch).map(|b| b.2);
+            let batch = all.next(size).unwrap();
+            let (_, tenant, tokens) = batches.iter().find(|b| b.0 == batch).unwrap();
+            *given.entry(*tenant).or_default() += tokens;
+            all.push(flow(*tenant), batch);
+        }
+        given
+    }
+
+    #[test]
+    fn flows_get_the_same_tokens_whatever_their_slices_and_number_of_batches() {
+        // One tenant with ten batches, one with one; large slices beside small ones.
+        let mut batches = vec![(100, 2, 300), (200, 3, 5_000)];
+        batches.extend((0..10).map(|n| (n, 1, 700)));
+        let given = play(&batches, 500, 4_000);
+        let (least, most) = (given.values().min().unwrap(), given.values().max().unwrap());
+        assert!(most - least <= 10_000, "{given:?}");
+        assert!(*least > 300_000);
+    }
+
+    #[test]
+    fn batches_of_one_flow_take_turns() {
+        let mut turns = Turns::new(100);
+        (1..=3).for_each(|batch| turns.push(flow(1), batch));
+        let mut order = Vec::new();
+        for _ in 0..6 {
+            let batch = turns.next(|_| Some(10)).unwrap();
+            order.push(batch);
+            turns.push(flow(1), batch);
+        }
+        assert_eq!(order, [1, 2, 3, 1, 2, 3]);
+    }
+
+    #[test]
+    fn batches_and_flows_that_are_gone_are_passed_over_and_forgotten() {
+        let mut turns = Turns::new(100);
+        (0..1_000).for_each(|n| turns.push(flow(n), n));
+        assert_eq!(turns.next(|batch| (batch == 999).then_some(250)), Some(999));
+        assert_eq!(turns.next(|_| Some(1)), None);
+        // The one that owes is known until all is settled.
+        assert_eq!(turns.known(), 1);
+        turns.settle();
+        assert_eq!(turns.known(), 0);
+    }
+
+    #[test]
+    fn a_large_slice_is_not_held_up_and_is_paid_for_later() {
+        let mut turns = Turns::new(10);
+        turns.push(flow(1), 1);
+        assert_eq!(turns.next(|_| Some(1_000_000)), Some(1));
+        turns.push(flow(1), 1);
+        turns.push(flow(2), 2);
+        let size = |batch| Some(if batch == 1 { 1_000_000 } else { 1_000 });
+        for _ in 0..900 {
+            assert_eq!(turns.next(size), Some(2));
+            turns.push(flow(2), 2);
+        }
+    }
+}
--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -191,7 +191,7 @@
     use tokio::sync::mpsc;
 
     use super::*;
-    use crate::common::{run, settings};
+    use cranetack_standins::{run, settings};
 
     /// Guards against a bad file that takes effect, or that ends the following of later good ones.
     #[test]
--- /dev/null
+++ b/router/src/front/account.rs
@@ -0,0 +1,88 @@
+//! One account of bytes for all bodies and answers that a front holds in flight. A [`Claim`] is given back where
+//! it is dropped, and nowhere else.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+struct Held {
+    most: usize,
+    now: Cell<usize>,
+    peak: Cell<usize>,
+}
+
+/// The account. Cheap to clone.
+#[derive(Clone)]
+pub struct Account(Rc<Held>);
+
+impl Account {
+    /// So many bytes.
+    pub fn new(most: usize) -> Account {
+        Account(Rc::new(Held { most, now: Cell::default(), peak: Cell::default() }))
+    }
+
+    /// Claims bytes, if there are so many.
+    pub fn claim(&self, bytes: usize) -> Option<Claim> {
+        let mut claim = Claim { account: self.clone(), bytes: 0 };
+        claim.grow_to(bytes).then_some(claim)
+    }
+
+    /// Bytes that are claimed, and the most that ever were.
+    pub fn held(&self) -> (usize, usize) {
+        (self.0.now.get(), self.0.peak.get())
+    }
+}
+
+/// Bytes that are claimed.
+pub struct Claim {
+    account: Account,
+    bytes: usize,
+}
+
+impl Claim {
+    /// Grows to so many bytes, if there are; otherwise it stays. It never shrinks so.
+    #[must_use]
+    pub fn grow_to(&mut self, bytes: usize) -> bool {
+        let held = &self.account.0;
+        let more = bytes.saturating_sub(self.bytes);
+        if more > held.most - held.now.get() {
+            return false;
+        }
+        self.bytes += more;
+        held.now.set(held.now.get() + more);
+        held.peak.set(held.peak.get().max(held.now.get()));
+        true
+    }
+
+    /// Gives back all but so many bytes.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        let less = self.bytes.saturating_sub(bytes);
+        self.bytes -= less;
+        self.account.0.now.set(self.account.0.now.get() - less);
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        self.shrink_to(0);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn claims_never_pass_the_account_and_come_back_when_dropped() {
+        let account = Account::new(100);
+        let mut first = account.claim(60).unwrap();
+        assert!(account.claim(41).is_none());
+        let second = account.claim(40).unwrap();
+        assert!(!first.grow_to(61));
+        drop(second);
+        assert!(first.grow_to(100));
+        first.shrink_to(10);
+        assert_eq!(account.held(), (10, 100));
+        drop(first);
+        assert_eq!(account.held(), (0, 100));
+    }
+}
--- /dev/null
+++ b/router/src/front/body.rs
@@ -0,0 +1,173 @@
+//! The body of a request on its way: read within limits of size, time and memory.
+
+use std::io::Write;
+
+use bytes::{Bytes, BytesMut};
+use flate2::write::MultiGzDecoder;
+use http::header::{CONTENT_ENCODING, CONTENT_TYPE};
+use http::{HeaderMap, StatusCode};
+use http_body::Body;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::{timeout_at, Instant};
+
+use super::account::{Account, Claim};
+
+/// Compressed bytes that are taken at once: each may become a thousand, and must be counted first.
+const PIECE: usize = 1_024;
+
+/// Why the body of a request was not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum BodyError {
+    /// It is too long.
+    #[error("the body holds more than {0} bytes")]
+    TooLong(usize),
+    /// It broke off, or cannot be decoded.
+    #[error("the body could not be read")]
+    Unreadable,
+    /// It took too long.
+    #[error("the request took too long")]
+    Slow,
+    /// Where it ends is in doubt.
+    #[error("the request has both a length and an encoding")]
+    Ambiguous,
+    /// All bytes for bodies and answers are in use.
+    #[error("there is no room for the body now; trying again is harmless")]
+    NoRoom,
+    /// It is encoded in a way that is not known here.
+    #[error("Content-Encoding must be gzip or identity")]
+    Encoding,
+    /// It is not JSON by its own word.
+    #[error("Content-Type must be application/json")]
+    MediaType,
+}
+
+impl BodyError {
+    /// The status of its answer.
+    pub fn status(self) -> StatusCode {
+        match self {
+            BodyError::TooLong(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            BodyError::Unreadable | BodyError::Ambiguous => StatusCode::BAD_REQUEST,
+            BodyError::Slow => StatusCode::REQUEST_TIMEOUT,
+            BodyError::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
+            BodyError::Encoding | BodyError::MediaType => StatusCode::UNSUPPORTED_MEDIA_TYPE,
+        }
+    }
+}
+
+/// How a body is encoded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Coding {
+    Plain,
+    Gzip,
+}
+
+/// The body of a request on its way.
+pub struct Arriving {
+    pub(super) body: Incoming,
+    pub(super) due: Instant,
+    pub(super) ambiguous: bool,
+}
+
+impl Arriving {
+    /// The whole body. What it claims is for the caller to hold for as long as the bytes. Nothing is read, and no
+    /// client that waits for a word is told to go on, before there is room. The head, where it is given, must say
+    /// that it is JSON, or nothing.
+    pub async fn whole(
+        self, headers: Option<&HeaderMap>, most: usize, account: &Account,
+    ) -> Result<(Bytes, Claim), BodyError> {
+        if self.ambiguous {
+            return Err(BodyError::Ambiguous);
+        }
+        let coding = headers.map_or(Ok(Coding::Plain), coding)?;
+        let declared = usize::try_from(self.body.size_hint().lower()).unwrap_or(usize::MAX);
+        if declared > most {
+            return Err(BodyError::TooLong(most));
+        }
+        let claim = account.claim(declared).ok_or(BodyError::NoRoom)?;
+        let reading = read(self.body, coding, declared, most, claim);
+        timeout_at(self.due, reading).await.unwrap_or(Err(BodyError::Slow))
+    }
+}
+
+/// Checks what the head says of the body: JSON, in a coding that is known here.
+fn coding(headers: &HeaderMap) -> Result<Coding, BodyError> {
+    let word = |name| headers.get(name).map(|v| v.to_str().unwrap_or("?").to_ascii_lowercase());
+    if let Some(media) = word(CONTENT_TYPE) {
+        let (kind, rest) = media.split_once(';').unwrap_or((&media, ""));
+        let charset =
+            rest.split(';').filter_map(|p| p.trim().strip_prefix("charset=").map(str::to_owned)).next();
+        let utf8 = charset.is_none_or(|c| matches!(c.trim_matches('"'), "utf-8" | "utf8" | "us-ascii"));
+        if kind.trim() != "application/json" || !utf8 {
+            return Err(BodyError::MediaType);
+        }
+    }
+    match word(CONTENT_ENCODING).as_deref().map(str::trim) {
+        None | Some("" | "identity") => Ok(Coding::Plain),
+        Some("gzip" | "x-gzip") => Ok(Coding::Gzip),
+        Some(_) => Err(BodyError::Encoding),
+    }
+}
+
+async fn read(
+    mut body: Incoming, coding: Coding, declared: usize, most: usize, mut claim: Claim,
+) -> Result<(Bytes, Claim), BodyError> {
+    let mut decoder = MultiGzDecoder::new(Vec::new());
+    let mut plain = BytesMut::with_capacity(if coding == Coding::Plain { declared } else { 0 });
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| BodyError::Unreadable)?.into_data() else { continue };
+        if coding == Coding::Plain {
+            let length = plain.len() + data.len();
+            check(length, length.max(plain.capacity()), most, &mut claim)?;
+            plain.extend_from_slice(&data);
+            continue;
+        }
+        for piece in data.chunks(PIECE) {
+            decoder.write_all(piece).map_err(|_| BodyError::Unreadable)?;
+            let held = decoder.get_ref();
+            check(held.len(), held.capacity(), most, &mut claim)?;
+        }
+    }
+    if coding == Coding::Plain {
+        claim.shrink_to(plain.capacity());
+        return Ok((plain.freeze(), claim));
+    }
+    let whole = decoder.finish().map_err(|_| BodyError::Unreadable)?;
+    check(whole.len(), whole.capacity(), most, &mut claim)?;
+    claim.shrink_to(whole.capacity());
+    Ok((whole.into(), claim))
+}
+
+fn check(length: usize, held: usize, most: usize, claim: &mut Claim) -> Result<(), BodyError> {
+    if length > most {
+        return Err(BodyError::TooLong(most));
+    }
+    if claim.grow_to(held) {
+        Ok(())
+    } else {
+        Err(BodyError::NoRoom)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_json_in_a_known_coding_is_read() {
+        let of = |name: http::HeaderName, value: &str| {
+            let mut headers = HeaderMap::new();
+            headers.insert(name, value.parse().unwrap());
+            coding(&headers)
+        };
+        assert_eq!(coding(&HeaderMap::new()), Ok(Coding::Plain));
+        assert_eq!(of(CONTENT_TYPE, "Application/JSON; charset=\"UTF-8\""), Ok(Coding::Plain));
+        for other in ["text/plain", "application/json; charset=latin1", "application/jsonl", ""] {
+            assert_eq!(of(CONTENT_TYPE, other), Err(BodyError::MediaType), "{other}");
+        }
+        assert_eq!(of(CONTENT_ENCODING, "gzip"), Ok(Coding::Gzip));
+        for other in ["br", "gzip, gzip", "deflate"] {
+            assert_eq!(of(CONTENT_ENCODING, other), Err(BodyError::Encoding), "{other}");
+        }
+    }
+}
--- /dev/null
+++ b/router/src/front/inference/queue.rs
@@ -0,0 +1,138 @@
+//! Batches on the runtime: the engine decides, tickets wait for its turns, and one task keeps its time.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cranetack_batching::{BatchId, Engine, Failure, Micros, Opening, Order, Refusal, Settings, Verdict};
+use tokio::sync::{mpsc, Notify};
+use tokio::time::Instant;
+
+/// What a batch is told.
+#[derive(Debug)]
+pub enum Turn {
+    /// Send this slice.
+    Send(Order),
+    /// It has ended like this. Nothing further comes.
+    Ended(Verdict),
+}
+
+struct Shared {
+    engine: RefCell<Engine>,
+    start: Instant,
+    tickets: RefCell<HashMap<BatchId, mpsc::UnboundedSender<Turn>>>,
+    /// When the task that keeps the time wakes, and how it is told that this is too late.
+    wakes: Cell<Option<Micros>>,
+    sooner: Notify,
+}
+
+/// All batches of a front. Cheap to clone.
+#[derive(Clone)]
+pub struct Queue(Rc<Shared>);
+
+impl Queue {
+    /// A queue with nothing open. Must be called within a `LocalSet`.
+    pub fn new(settings: Settings) -> Queue {
+        let shared = Rc::new(Shared {
+            engine: RefCell::new(Engine::new(settings)),
+            start: Instant::now(),
+            tickets: RefCell::default(),
+            wakes: Cell::default(),
+            sooner: Notify::new(),
+        });
+        let weak = Rc::downgrade(&shared);
+        tokio::task::spawn_local(async move {
+            while let Some(shared) = weak.upgrade() {
+                let wake = shared.engine.borrow().wake();
+                shared.wakes.set(wake);
+                let at = wake.map_or(Duration::from_secs(1), |at| {
+                    Duration::from_micros(u64::try_from(at - shared.now()).unwrap_or(0))
+                });
+                let timer = tokio::time::sleep(at);
+                tokio::select! {
+                    () = timer => {}
+                    () = shared.sooner.notified() => {}
+                }
+                shared.step(|engine, now| engine.tick(now));
+            }
+        });
+        Queue(shared)
+    }
+
+    /// Takes a batch whose client gives up at this instant, unless it has no hope.
+    pub fn open(&self, due: Instant, opening: Opening) -> Result<Ticket, Refusal> {
+        let due = self.0.at(due);
+        let opened = self.0.engine.borrow_mut().open(self.0.now(), Opening { due, ..opening });
+        let id = opened?;
+        let (tx, turns) = mpsc::unbounded_channel();
+        self.0.tickets.borrow_mut().insert(id, tx);
+        self.0.step(|_, _| ());
+        Ok(Ticket { shared: self.0.clone(), id, turns })
+    }
+}
+
+impl Shared {
+    fn at(&self, instant: Instant) -> Micros {
+        let span = instant.saturating_duration_since(self.start);
+        Micros::try_from(span.as_micros()).unwrap_or(Micros::MAX)
+    }
+
+    fn now(&self) -> Micros {
+        self.at(Instant::now())
+    }
+
+    /// Takes a step and passes on what comes of it.
+    fn step(&self, step: impl FnOnce(&mut Engine, Micros)) {
+        let now = self.now();
+        let mut engine = self.engine.borrow_mut();
+        step(&mut engine, now);
+        let tickets = self.tickets.borrow();
+        let tell = |id: BatchId, turn: Turn| tickets.get(&id).is_some_and(|t| t.send(turn).is_ok());
+        while let Some((id, verdict)) = engine.verdict() {
+            tell(id, Turn::Ended(verdict));
+        }
+        while let Some(order) = engine.next(now) {
+            let id = order.batch;
+            if !tell(id, Turn::Send(order)) {
+                engine.close(id);
+            }
+        }
+        let wake = engine.wake();
+        if wake.is_some_and(|at| self.wakes.get().is_none_or(|set| at < set)) {
+            self.sooner.notify_one();
+        }
+    }
+}
+
+/// A batch that is open; closed where it is dropped.
+pub struct Ticket {
+    shared: Rc<Shared>,
+    id: BatchId,
+    turns: mpsc::UnboundedReceiver<Turn>,
+}
+
+impl Ticket {
+    /// Waits for what comes next.
+    pub async fn turn(&mut self) -> Turn {
+        // The queue drops its half only with the ticket.
+        self.turns.recv().await.unwrap_or(Turn::Ended(Verdict::Failed))
+    }
+
+    /// The slice that is out has been served.
+    pub fn served(&self) {
+        self.shared.step(|engine, now| engine.served(now, self.id));
+    }
+
+    /// The slice that is out has failed.
+    pub fn failed(&self, failure: Failure) {
+        self.shared.step(|engine, now| engine.failed(now, self.id, failure));
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.shared.tickets.borrow_mut().remove(&self.id);
+        self.shared.step(|engine, _| engine.close(self.id));
+    }
+}
--- /dev/null
+++ b/router/src/front/inference/setup.rs
@@ -0,0 +1,334 @@
+//! The operator's file of the second front.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cranetack_batching::Settings;
+use cranetack_facts::Facts;
+use cranetack_inference::{Bounds, Catalogue, Endpoint, Model};
+use serde::Deserialize;
+
+/// The file.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Setup {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// How chat is served.
+    pub chat: Served,
+    /// How embeddings are served.
+    pub embeddings: Served,
+    /// How reranking is served.
+    pub rerank: Served,
+    /// What requests and answers may hold.
+    #[serde(default)]
+    pub limits: Limits,
+    /// How batches are served.
+    #[serde(default)]
+    pub batches: Batches,
+    /// The models. Where none is named, any name is served by the endpoint's class.
+    #[serde(default)]
+    pub models: Vec<Named>,
+}
+
+/// How one kind of request is served.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Served {
+    /// Its class in the settings.
+    pub class: String,
+    /// How long a client waits that does not say.
+    pub deadline_ms: u32,
+    /// Tokens of a batch's slices while nothing has been measured.
+    #[serde(default = "default_slice")]
+    pub slice_tokens: u64,
+}
+
+fn default_slice() -> u64 {
+    2_048
+}
+
+/// What requests and answers may hold.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Bytes of one body, decoded.
+    pub body_bytes: usize,
+    /// Bytes of all bodies and answers in flight.
+    pub held_bytes: usize,
+    /// How long a request may take to arrive whole.
+    pub body_wait_ms: u64,
+    /// How long a client may read nothing of what waits for it.
+    pub read_wait_ms: u64,
+    /// Lists and objects within one another.
+    pub depth: usize,
+    /// Items of one list.
+    pub items: usize,
+    /// Bytes of one text.
+    pub text_bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        let Bounds { depth, text, items } = Bounds::default();
+        let mib = 1024 * 1024;
+        Limits {
+            body_bytes: 16 * mib,
+            held_bytes: 64 * mib,
+            body_wait_ms: 10_000,
+            read_wait_ms: 30_000,
+            depth,
+            items,
+            text_bytes: text,
+        }
+    }
+}
+
+impl Limits {
+    /// What is looked for before a body is decoded.
+    pub fn bounds(&self) -> Bounds {
+        Bounds { depth: self.depth, text: self.text_bytes, items: self.items }
+    }
+
+    /// How long a request may take to arrive whole.
+    pub fn body_wait(&self) -> Duration {
+        Duration::from_millis(self.body_wait_ms)
+    }
+
+    /// How long a client may read nothing.
+    pub fn read_wait(&self) -> Duration {
+        Duration::from_millis(self.read_wait_ms)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        for (key, value) in [
+            ("body_bytes", self.body_bytes as u64),
+            ("body_wait_ms", self.body_wait_ms),
+            ("read_wait_ms", self.read_wait_ms),
+            ("depth", self.depth as u64),
+            ("items", self.items as u64),
+            ("text_bytes", self.text_bytes as u64),
+        ] {
+            if value == 0 {
+                return Err(format!("limits.{key}: must be above 0"));
+            }
+        }
+        // Places in a body are kept as 32 bits.
+        if self.body_bytes > 1 << 30 {
+            return Err("limits.body_bytes: must be at most 1073741824".to_owned());
+        }
+        if self.held_bytes < self.body_bytes {
+            return Err(format!(
+                "limits.held_bytes: must be at least limits.body_bytes, {}",
+                self.body_bytes
+            ));
+        }
+        if self.depth > 100 {
+            return Err("limits.depth: must be at most 100".to_owned());
+        }
+        Ok(())
+    }
+}
+
+/// How batches are served.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Batches {
+    /// How long a slice may take.
+    pub slice_target_ms: u32,
+    /// The fewest tokens of a slice.
+    pub least_tokens: u64,
+    /// The most tokens of a slice.
+    pub most_tokens: u64,
+    /// Slices of all batches that may be out at once.
+    pub at_once: usize,
+    /// Tokens that each class and tenant gets in a round.
+    pub round_tokens: u64,
+    /// Repeats of slices, as a share of those that were served ...
+    pub repeat_share: f64,
+    /// ... and how many of them may be saved for later.
+    pub repeat_most: f64,
+    /// How often one slice is tried.
+    pub tries: u32,
+    /// Batches that may be open.
+    pub open: usize,
+}
+
+impl Default for Batches {
+    fn default() -> Self {
+        let settings = Settings::default();
+        Batches {
+            slice_target_ms: u32::try_from(settings.slice_target / 1_000).unwrap_or(u32::MAX),
+            least_tokens: settings.least_tokens,
+            most_tokens: settings.most_tokens,
+            at_once: settings.at_once,
+            round_tokens: settings.quantum,
+            repeat_share: settings.repeat_share,
+            repeat_most: settings.repeat_most,
+            tries: settings.tries,
+            open: settings.open_most,
+        }
+    }
+}
+
+impl Batches {
+    /// In the engine's terms.
+    pub fn settings(&self, come_back_most: Duration) -> Settings {
+        Settings {
+            slice_target: i64::from(self.slice_target_ms) * 1_000,
+            least_tokens: self.least_tokens,
+            most_tokens: self.most_tokens,
+            quantum: self.round_tokens,
+            at_once: self.at_once,
+            repeat_share: self.repeat_share,
+            repeat_most: self.repeat_most,
+            tries: self.tries,
+            open_most: self.open,
+            come_back_most: i64::try_from(come_back_most.as_micros()).unwrap_or(i64::MAX),
+        }
+    }
+
+    fn check(&self) -> Result<(), String> {
+        for (key, value) in [
+            ("slice_target_ms", u64::from(self.slice_target_ms)),
+            ("least_tokens", self.least_tokens),
+            ("at_once", self.at_once as u64),
+            ("round_tokens", self.round_tokens),
+            ("tries", u64::from(self.tries)),
+            ("open", self.open as u64),
+        ] {
+            if value == 0 {
+                return Err(format!("batches.{key}: must be above 0"));
+            }
+        }
+        if self.most_tokens < self.least_tokens {
+            return Err(format!("batches.most_tokens: must be at least least_tokens, {}", self.least_tokens));
+        }
+        if !(0.0..=1.0).contains(&self.repeat_share) {
+            return Err("batches.repeat_share: must be from 0 to 1".to_owned());
+        }
+        if !(0.0..=1e6).contains(&self.repeat_most) {
+            return Err("batches.repeat_most: must be from 0 to 1000000".to_owned());
+        }
+        Ok(())
+    }
+}
+
+/// A model, and what it is served as.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Named {
+    /// The name that workers know.
+    pub name: String,
+    /// Further names.
+    #[serde(default)]
+    pub aliases: Vec<String>,
+    /// Its class for chat, if it serves that.
+    pub chat: Option<String>,
+    /// Its class for embeddings.
+    pub embeddings: Option<String>,
+    /// Its class for rerank.
+    pub rerank: Option<String>,
+}
+
+impl Setup {
+    /// How requests to an endpoint are served.
+    pub fn served(&self, endpoint: Endpoint) -> &Served {
+        match endpoint {
+            Endpoint::Chat => &self.chat,
+            Endpoint::Embeddings => &self.embeddings,
+            Endpoint::Rerank => &self.rerank,
+        }
+    }
+
+    /// The models, by the numbers of their classes. The message names the key.
+    pub fn catalogue(&self, facts: &Facts) -> Result<Catalogue, String> {
+        let class = |key: String, name: &String| match facts.classes.iter().position(|c| c.name == *name) {
+            Some(class) => Ok(class),
+            None => Err(format!("{key}: the settings have no class {name:?}")),
+        };
+        let mut models = Vec::new();
+        for (at, named) in self.models.iter().enumerate() {
+            let of = |endpoint: Endpoint| match endpoint {
+                Endpoint::Chat => &named.chat,
+                Endpoint::Embeddings => &named.embeddings,
+                Endpoint::Rerank => &named.rerank,
+            };
+            let mut classes = [None; 3];
+            for (slot, endpoint) in classes.iter_mut().zip(Endpoint::ALL) {
+                let key = format!("models[{at}].{}", endpoint.name());
+                *slot = of(endpoint).as_ref().map(|name| class(key, name)).transpose()?;
+            }
+            models.push(Model { name: named.name.clone(), aliases: named.aliases.clone(), classes });
+        }
+        Catalogue::new(models)
+    }
+
+    /// What is wrong with the values beside the settings, in one line that names the key.
+    pub fn check(&self, facts: &Facts) -> Result<(), String> {
+        for endpoint in Endpoint::ALL {
+            let (key, served) = (endpoint.name(), self.served(endpoint));
+            if !facts.classes.iter().any(|c| c.name == served.class) {
+                return Err(format!("{key}.class: the settings have no class {:?}", served.class));
+            }
+            if served.deadline_ms == 0 {
+                return Err(format!("{key}.deadline_ms: must be above 0"));
+            }
+            if served.slice_tokens == 0 {
+                return Err(format!("{key}.slice_tokens: must be above 0"));
+            }
+        }
+        self.limits.check()?;
+        self.batches.check()?;
+        self.catalogue(facts).map(drop)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use serde_json::json;
+
+    use super::*;
+    use crate::config::parse_toml;
+
+    fn facts() -> Facts {
+        let class = |name: &str| json!({"name": name});
+        let classes = [class("chat"), class("embeddings"), class("rerank")];
+        serde_json::from_value(json!({"classes": classes, "kinds": [], "zones": []})).unwrap()
+    }
+
+    const FILE: &str = include_str!("../../../../deploy/inference.toml");
+
+    #[test]
+    fn the_operators_file_as_shipped_can_be_used() {
+        let setup: Setup = parse_toml(FILE).unwrap();
+        setup.check(&facts()).unwrap();
+        assert!(setup.listen.ip().is_loopback());
+        assert_eq!(setup.rerank.class, "rerank");
+        assert!(setup.catalogue(&facts()).unwrap().resolve("parts-chat", Endpoint::Chat).is_ok());
+    }
+
+    #[test]
+    fn a_wrong_file_names_its_key() {
+        for (from, to, key) in [
+            ("class = \"rerank\"", "class = \"other\"", "rerank.class"),
+            ("class = \"chat\"", "classes = \"chat\"", "chat"),
+            ("listen = \"127.0.0.1:8090\"", "listen = 3", "listen"),
+            ("slice_tokens = 4096", "slice_tokens = 0", "embeddings.slice_tokens"),
+            ("body_bytes = 16777216", "body_bytes = 0", "limits.body_bytes"),
+            ("held_bytes = 67108864", "held_bytes = 1000", "limits.held_bytes"),
+            ("depth = 64", "depth = 101", "limits.depth"),
+            ("slice_target_ms = 200", "slice_target_ms = 0", "batches.slice_target_ms"),
+            ("repeat_share = 0.2", "repeat_share = 2.0", "batches.repeat_share"),
+            ("most_tokens = 65536", "most_tokens = 1", "batches.most_tokens"),
+            ("chat = \"chat\"", "chat = \"other\"", "models[0].chat"),
+            ("aliases = [\"parts\"]", "aliases = [\"parts-embed\"]", "models[1].name"),
+            ("aliases = [\"parts\"]", "alias = \"parts\"", "models[0]"),
+        ] {
+            assert!(FILE.contains(from), "{from}");
+            let read = parse_toml(&FILE.replace(from, to)).and_then(|s: Setup| s.check(&facts()));
+            let message = read.expect_err(to);
+            assert!(message.starts_with(key) && !message.contains('\n'), "{message}");
+        }
+    }
+}
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -1,6 +1,8 @@
 //! The server side: listening, connections, and what all fronts share. A front is a tower service over hyper
 //! that decodes a request once, waits at the exchange, and encodes the answer once.
 
+mod account;
+mod body;
 pub mod inference;
 pub mod platform;
 mod seat;
@@ -14,24 +16,23 @@
 
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response};
 use http_body::{Body, Frame};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::{timeout_at, Instant};
 use tower::Service;
 
 use crate::exchange::{Broken, Gone, Parts};
 use crate::shutdown::Phase;
+pub use body::{Arriving, BodyError};
+pub use seat::Waits;
 use seat::{Desk, Open, Seat, Seats};
 
-/// The most that a request's body may hold.
-const BODY_MOST: usize = 256 * 1024;
 /// The most that is read ahead on a connection, and so the longest head of a request. A kept connection goes on
 /// holding as much as its last body made it read at once: memory would grow with those that ask once and stay.
 const BUFFER_MOST: usize = 16 * 1024;
@@ -71,6 +72,8 @@
     Text(Full<Bytes>),
     /// A server's answer.
     Stream(Stream),
+    /// A front's own way of passing an answer on.
+    Other(Pin<Box<dyn Body<Data = Bytes, Error = Broken>>>),
 }
 
 /// A server's answer on its way to a client.
@@ -88,6 +91,11 @@
         AnswerBody::Text(Full::new(text.into()))
     }
 
+    /// A front's own.
+    pub fn other(body: impl Body<Data = Bytes, Error = Broken> + 'static) -> AnswerBody {
+        AnswerBody::Other(Box::pin(body))
+    }
+
     /// The parts of a server's answer.
     pub fn stream(parts: Parts, gone: Gone) -> AnswerBody {
         AnswerBody::Stream(Stream { parts, _gone: gone, broken: false })
@@ -119,66 +127,23 @@
         match self.get_mut() {
             AnswerBody::Text(text) => Pin::new(text).poll_frame(cx).map_err(|e| match e {}),
             AnswerBody::Stream(stream) => stream.poll_next(cx).map_ok(Frame::data),
+            AnswerBody::Other(body) => body.as_mut().poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, AnswerBody::Text(text) if text.is_end_stream())
+        match self {
+            AnswerBody::Text(text) => text.is_end_stream(),
+            AnswerBody::Stream(_) => false,
+            AnswerBody::Other(body) => body.is_end_stream(),
+        }
     }
 
     fn size_hint(&self) -> http_body::SizeHint {
         match self {
             AnswerBody::Text(text) => text.size_hint(),
             AnswerBody::Stream(_) => http_body::SizeHint::default(),
-        }
-    }
-}
-
-/// Why the body of a request was not read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-enum BodyError {
-    #[error("the body holds more than {BODY_MOST} bytes")]
-    TooLong,
-    #[error("the body could not be read")]
-    Unreadable,
-    #[error("the request took too long")]
-    Slow,
-    #[error("the request has both a length and an encoding")]
-    Ambiguous,
-}
-
-impl BodyError {
-    fn status(self) -> StatusCode {
-        match self {
-            BodyError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            BodyError::Unreadable | BodyError::Ambiguous => StatusCode::BAD_REQUEST,
-            BodyError::Slow => StatusCode::REQUEST_TIMEOUT,
-        }
-    }
-}
-
-/// The body of a request on its way.
-pub struct Arriving {
-    body: Incoming,
-    due: Instant,
-    ambiguous: bool,
-}
-
-impl Arriving {
-    /// The whole body, within the limits of size and time.
-    async fn whole(self) -> Result<Bytes, BodyError> {
-        if self.ambiguous {
-            return Err(BodyError::Ambiguous);
-        }
-        // One that says that it is too long need not come first.
-        if self.body.size_hint().lower() > BODY_MOST as u64 {
-            return Err(BodyError::TooLong);
-        }
-        match timeout_at(self.due, Limited::new(self.body, BODY_MOST).collect()).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyError::TooLong),
-            Ok(Err(_)) => Err(BodyError::Unreadable),
-            Err(_) => Err(BodyError::Slow),
+            AnswerBody::Other(body) => body.size_hint(),
         }
     }
 }
@@ -209,6 +174,11 @@
 
 /// A front: what becomes of one request.
 pub trait Front: Clone + 'static {
+    /// How long its clients may take.
+    fn waits(&self) -> Waits {
+        Waits::default()
+    }
+
     /// Answers a request.
     fn answer(self, request: Request<Arriving>) -> impl Future<Output = Response<AnswerBody>>;
 }
@@ -249,7 +219,7 @@
 pub async fn serve<F: Front>(
     listener: TcpListener, front: F, most: usize, mut phase: watch::Receiver<Phase>,
 ) {
-    let seats = Seats::new(most);
+    let seats = Seats::new(most, front.waits());
     let mut connections = tokio::task::JoinSet::new();
     let accepting = async {
         loop {
--- a/router/src/front/platform.rs
+++ b/router/src/front/platform.rs
@@ -10,12 +10,15 @@
 use http::request::Parts as Head;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 
+use super::account::Account;
 use super::{is_word, retry_after, streamed, AnswerBody, Arriving, BodyError, Front, Readiness};
 use crate::core::{Asked, Handle};
 use crate::exchange::{Answer, Message};
 
 const CHAT: &str = "/v1/chat/completions";
 const UP: &str = "/up";
+/// The most that a request's body may hold.
+const BODY_MOST: usize = 256 * 1024;
 
 /// The front as a service.
 #[derive(Clone)]
@@ -23,18 +26,20 @@
     handle: Handle,
     classes: Rc<Vec<String>>,
     readiness: Readiness,
+    account: Account,
 }
 
 impl Platform {
     /// A front that hands its requests to `handle`.
     pub fn new(handle: Handle, facts: &Facts, readiness: Readiness) -> Platform {
         let classes = Rc::new(facts.classes.iter().map(|c| c.name.clone()).collect());
-        Platform { handle, classes, readiness }
+        Platform { handle, classes, readiness, account: Account::new(usize::MAX) }
     }
 
     async fn chat(&self, request: Request<Arriving>) -> Result<Response<AnswerBody>, Wrong> {
         let (head, body) = request.into_parts();
-        let body = body.whole().await?;
+        // The number of connections bounds what bodies hold here.
+        let (body, _claim) = body.whole(None, BODY_MOST, &self.account).await?;
         let caller = self.handle.ask(decode(&head, body, &self.classes)?);
         let (answer, gone) = caller.answer().await;
         Ok(match answer {
--- a/router/src/front/seat.rs
+++ b/router/src/front/seat.rs
@@ -19,11 +19,11 @@
 
 /// How long a client may take over the head of a request, from the connection's start or its first byte ...
 pub const HEAD_WAIT: Duration = Duration::from_millis(2_000);
-/// ... and over all of the request.
-pub const REQUEST_WAIT: Duration = Duration::from_millis(2_500);
+/// ... and over all of the request, unless the front says otherwise.
+const REQUEST_WAIT: Duration = Duration::from_millis(2_500);
 /// How long a connection is kept without a request, while there is room.
 const KEPT_WAIT: Duration = Duration::from_secs(60);
-/// How long a client may read nothing of an answer that waits for it.
+/// How long a client may read nothing of an answer that waits for it, unless the front says otherwise.
 const BLOCKED_WAIT: Duration = Duration::from_secs(30);
 /// For how long a connection is safe from making room: its request may be on its way.
 const SAFE_FOR: Duration = Duration::from_millis(50);
@@ -32,6 +32,21 @@
 /// By how much a client that has not asked counts as idle for longer than one whose request was answered.
 const SILENT_BIAS: Duration = Duration::from_secs(5);
 
+/// How long a front's clients may take.
+#[derive(Debug, Clone, Copy)]
+pub struct Waits {
+    /// Over all of a request, from its first byte.
+    pub request: Duration,
+    /// Over reading nothing of what waits for them.
+    pub unread: Duration,
+}
+
+impl Default for Waits {
+    fn default() -> Self {
+        Waits { request: REQUEST_WAIT, unread: BLOCKED_WAIT }
+    }
+}
+
 #[derive(Clone, Copy)]
 enum State {
     /// A request is awaited or coming, since the connection's start or the request's first byte.
@@ -44,6 +59,7 @@
 
 /// What is known of a connection.
 struct Known {
+    waits: Waits,
     state: Cell<State>,
     /// Since when the client has read nothing of what waits for it.
     blocked: Cell<Option<Instant>>,
@@ -52,11 +68,12 @@
 }
 
 impl Known {
-    /// When the connection is to be closed; `None` while a request is being answered.
+    /// When the connection is to be closed; `None` while a request is being answered and what has come of the
+    /// answer is read. Guards against a client that reads nothing and holds what waits for it.
     fn due(&self) -> Option<Instant> {
         match (self.state.get(), self.blocked.get()) {
-            (State::Open, _) => None,
-            (_, Some(since)) => Some(since + BLOCKED_WAIT),
+            (_, Some(since)) => Some(since + self.waits.unread),
+            (State::Open, None) => None,
             (State::Coming(since), _) => Some(since + HEAD_WAIT),
             (State::Kept(since), _) => Some(since + KEPT_WAIT),
         }
@@ -77,15 +94,16 @@
 /// The places of a front's connections.
 pub struct Seats {
     places: Arc<Semaphore>,
+    waits: Waits,
     taken: RefCell<BTreeMap<u64, Rc<Known>>>,
     next: Cell<u64>,
 }
 
 impl Seats {
     /// So many places.
-    pub fn new(most: usize) -> Rc<Seats> {
+    pub fn new(most: usize, waits: Waits) -> Rc<Seats> {
         let places = Arc::new(Semaphore::new(most));
-        Rc::new(Seats { places, taken: RefCell::default(), next: Cell::default() })
+        Rc::new(Seats { places, waits, taken: RefCell::default(), next: Cell::default() })
     }
 
     /// A place, as soon as there is one. Guards against silent clients that take the places of those that ask:
@@ -105,6 +123,7 @@
     pub fn take(self: &Rc<Self>, place: Option<OwnedSemaphorePermit>) -> Seat {
         let number = self.next.replace(self.next.get() + 1);
         let known = Rc::new(Known {
+            waits: self.waits,
             state: Cell::new(State::Coming(Instant::now())),
             blocked: Cell::default(),
             framing: RefCell::new(Framing::of_requests()),
@@ -173,7 +192,7 @@
             State::Coming(since) => since,
             State::Open | State::Kept(_) => Instant::now(),
         };
-        Open { known: self.0.clone(), due: since + REQUEST_WAIT }
+        Open { known: self.0.clone(), due: since + self.0.waits.request }
     }
 
     /// Whether where this request ends is in doubt.
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -5,9 +5,6 @@
 //! module and has the [`upstream`] make attempts, whose ends it is told. [`discovery`] and [`peers`] feed it
 //! news. [`run`] puts the parts together.
 
-#[cfg(test)]
-#[path = "../tests/common/mod.rs"]
-mod common;
 pub mod config;
 pub mod control;
 pub mod core;
@@ -20,9 +17,6 @@
 pub mod tenants;
 pub mod upstream;
 
-#[cfg(test)]
-extern crate self as cranetack_router;
-
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -180,6 +174,7 @@
             report: config.facts.report.clone(),
         };
         let outbound = Upstream::new(handle.clone(), options, peers);
+        let settings = config.settings.clone();
         let core = Core::new(config.settings, config.seed, Clock::system(), outbound);
         spawn_local(core.run(happenings));
         if let Some(known) = &config.known {
@@ -221,8 +216,10 @@
         let second = async {
             if let Some((listener, setup)) = second {
                 tracing::info!(listen = %setup.listen, "serving embeddings and rerank beside chat");
-                let service = Inference::new(handle, setup, &config.facts, tenants, config.seed);
-                front::serve(listener, service, most, phase.clone()).await;
+                let (facts, phase) = (&config.facts, phase.clone());
+                let service =
+                    Inference::new(handle, setup, facts, &settings, tenants, config.seed, phase.clone());
+                front::serve(listener, service, most, phase).await;
             }
         };
         tokio::join!(front::serve(listener, platform, most, phase.clone()), second);
--- a/router/src/upstream/link.rs
+++ b/router/src/upstream/link.rs
@@ -369,7 +369,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::common::{run, Behaviour, Worker};
+    use cranetack_standins::{run, Behaviour, Worker};
 
     /// Guards against an `unsafe` request that is sent twice: its last byte must be seen wherever writes split.
     #[test]
--- a/router/src/upstream/model.rs
+++ b/router/src/upstream/model.rs
@@ -10,8 +10,8 @@
 
 use super::call;
 use super::link::{Link, Links};
-use crate::common::{run_paused, Behaviour, Worker};
 use crate::core::Host;
+use cranetack_standins::{run_paused, Behaviour, Worker};
 
 const MOST: usize = 3;
 const KEEP: Duration = Duration::from_secs(5);
