--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What people do with this repository. `make test` is what CI runs.
-.PHONY: build test lint run toy
+.PHONY: build test lint run toy conform measure-front
 
 build:
 	cargo build --release --locked
@@ -17,3 +17,12 @@
 
 toy:
 	cargo run --release --locked -p cranetack-router --example toy
+
+# The conformance suite, against `make toy` and `make run`.
+conform: build
+	target/release/cranetack conform --base http://127.0.0.1:8090
+
+# The second front beside the version before it was built anew. Builds that version once, under target/.
+measure-front: build
+	cargo build --release --locked -p cranetack-measure
+	target/release/measure-front --baseline "$$(measure/baseline.sh 3d14c4c)"
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -342,6 +342,7 @@
             max_tokens: f.count(9)?,
             retry: f.flag(10)?,
             came_back: f.flag(11)?,
+            kinds: None,
         })
     }
 
--- a/inference/src/events.rs
+++ b/inference/src/events.rs
@@ -54,6 +54,13 @@
     }
 }
 
+/// The data of whole events, as [`Events::push`] gives them, but for the one that ends an answer.
+pub fn data(whole: &[u8]) -> Result<Vec<String>, NotEvents> {
+    let text = std::str::from_utf8(whole).map_err(|_| NotEvents)?.replace("\r\n", "\n").replace('\r', "\n");
+    let of = |event: &str| data_of(event.as_bytes()).filter(|data| data != "[DONE]");
+    Ok(text.split("\n\n").filter_map(of).collect())
+}
+
 fn is_done(event: &[u8]) -> bool {
     data_of(event).is_some_and(|data| data == "[DONE]")
 }
@@ -88,15 +95,10 @@
 
 impl Fold {
     /// Adds what has come.
-    pub fn push(&mut self, data: &[u8]) -> Result<(), NotEvents> {
-        let Some(whole) = self.events.push(data)? else { return Ok(()) };
-        let text =
-            std::str::from_utf8(&whole).map_err(|_| NotEvents)?.replace("\r\n", "\n").replace('\r', "\n");
-        for event in text.split("\n\n") {
-            match data_of(event.as_bytes()).as_deref() {
-                None | Some("[DONE]") => {}
-                Some(data) => self.chunk(serde_json::from_str(data).map_err(|_| NotEvents)?)?,
-            }
+    pub fn push(&mut self, come: &[u8]) -> Result<(), NotEvents> {
+        let Some(whole) = self.events.push(come)? else { return Ok(()) };
+        for data in data(&whole)? {
+            self.chunk(serde_json::from_str(&data).map_err(|_| NotEvents)?)?;
         }
         self.held += whole.len();
         Ok(())
--- a/inference/src/lib.rs
+++ b/inference/src/lib.rs
@@ -16,7 +16,7 @@
 pub use chat::Chat;
 pub use error::{ApiError, Kind};
 pub use events::{Events, Fold};
-pub use models::{Catalogue, Endpoint, Model};
+pub use models::{Catalogue, Endpoint, Model, Resolved};
 pub use results::{join, BadAnswer, Part};
 pub use scan::Bounds;
 
--- a/inference/src/models.rs
+++ b/inference/src/models.rs
@@ -39,6 +39,19 @@
     pub aliases: Vec<String>,
     /// The class for each endpoint of [`Endpoint::ALL`]; none where the model does not serve it.
     pub classes: [Option<usize>; 3],
+    /// The kinds of server that have it, a bit for each; any where it does not say.
+    pub kinds: Option<u64>,
+}
+
+/// A model as a request names it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Resolved<'a> {
+    /// The name that servers know.
+    pub name: &'a str,
+    /// The class, where the model says one.
+    pub class: Option<usize>,
+    /// The kinds of server that have it.
+    pub kinds: Option<u64>,
 }
 
 /// All models. An empty catalogue knows no names and lets each pass.
@@ -87,22 +100,18 @@
         self.0.iter().find(|m| m.name == name || m.aliases.iter().any(|a| a == name))
     }
 
-    /// The name that servers know and the class for an endpoint, `None` for the endpoint's own.
-    pub fn resolve<'a>(
-        &'a self, name: &'a str, endpoint: Endpoint,
-    ) -> Result<(&'a str, Option<usize>), ApiError> {
+    /// What a name stands for at an endpoint.
+    pub fn resolve<'a>(&'a self, name: &'a str, endpoint: Endpoint) -> Result<Resolved<'a>, ApiError> {
         if self.is_empty() {
-            return Ok((name, None));
+            return Ok(Resolved { name, class: None, kinds: None });
         }
         let model = self.find(name).ok_or_else(|| unknown(name))?;
         let class = Endpoint::ALL.iter().position(|e| *e == endpoint).and_then(|at| model.classes[at]);
-        match class {
-            Some(class) => Ok((&model.name, Some(class))),
-            None => {
-                let message = format!("the model {name:?} does not serve {}", endpoint.name());
-                Err(ApiError::invalid(404, "model_not_found", Some("model"), message))
-            }
+        if class.is_none() {
+            let message = format!("the model {name:?} does not serve {}", endpoint.name());
+            return Err(ApiError::invalid(404, "model_not_found", Some("model"), message));
         }
+        Ok(Resolved { name: &model.name, class, kinds: model.kinds })
     }
 
     /// The answer to `/v1/models`: every name that a client may use.
@@ -145,7 +154,12 @@
     use super::*;
 
     fn model(name: &str, aliases: &[&str], classes: [Option<usize>; 3]) -> Model {
-        Model { name: name.into(), aliases: aliases.iter().map(|a| (*a).to_owned()).collect(), classes }
+        Model {
+            name: name.into(),
+            aliases: aliases.iter().map(|a| (*a).to_owned()).collect(),
+            classes,
+            kinds: None,
+        }
     }
 
     #[test]
@@ -155,14 +169,16 @@
             model("parts-embed", &[], [None, Some(1), Some(2)]),
         ];
         let catalogue = Catalogue::new(all).unwrap();
-        assert_eq!(catalogue.resolve("gpt", Endpoint::Chat), Ok(("parts-chat", Some(0))));
+        let found = Resolved { name: "parts-chat", class: Some(0), kinds: None };
+        assert_eq!(catalogue.resolve("gpt", Endpoint::Chat), Ok(found));
         for (name, endpoint) in [("gpt", Endpoint::Rerank), ("none", Endpoint::Chat)] {
             let error = catalogue.resolve(name, endpoint).unwrap_err();
             assert_eq!((error.status, error.code), (404, "model_not_found"));
         }
         assert!(catalogue.show("gpt").unwrap().contains("\"root\":\"parts-chat\""));
         assert_eq!(catalogue.show("none").unwrap_err().status, 404);
-        assert_eq!(Catalogue::default().resolve("any", Endpoint::Chat), Ok(("any", None)));
+        let any = Resolved { name: "any", class: None, kinds: None };
+        assert_eq!(Catalogue::default().resolve("any", Endpoint::Chat), Ok(any));
     }
 
     #[test]
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -139,6 +139,8 @@
     pub retry: bool,
     /// The client asks for the rest of a broken stream.
     pub came_back: bool,
+    /// The kinds of server that it may go to, a bit for each; any where it does not say.
+    pub kinds: Option<u64>,
     /// What servers are sent.
     pub message: Rc<Message>,
 }
@@ -281,6 +283,8 @@
     valid_until: Micros,
     /// Present until the final answer.
     carrier: Option<Carrier>,
+    /// The refusal that is given as soon as the attempt that is out has ended.
+    parting: Option<Answer>,
     attempts: u32,
     out: Option<Out>,
     /// Where it was last sent.
@@ -451,12 +455,14 @@
             max_tokens: asked.max_tokens,
             retry: asked.retry,
             came_back: asked.came_back,
+            kinds: asked.kinds,
         };
         let request = Request {
             asked,
             arrived: now,
             valid_until,
             carrier: Some(carrier),
+            parting: None,
             attempts: 0,
             out: None,
             last: None,
@@ -480,7 +486,9 @@
     fn established(&mut self, attempt: AttemptId, media_type: String, parts: Parts) {
         let now = self.clock.now();
         let id = attempt.request;
-        let Some(request) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
+        let Some(request) = self.requests.get_mut(&id).filter(|r| !r.over && r.parting.is_none()) else {
+            return;
+        };
         let Some(out) = request.out.as_mut().filter(|o| o.number == attempt.number) else { return };
         out.streaming = true;
         // Nothing further is sent for it: its body need not be held while the answer streams.
@@ -498,6 +506,8 @@
         let Some(out) = request.out.take_if(|o| o.number == attempt.number) else { return };
         if out.streaming {
             self.finish(id, None);
+        } else if let Some(refusal) = request.parting.take() {
+            self.finish(id, Some(refusal));
         }
         let no_more = self.requests.get(&id).is_none_or(|r| r.over);
         let Ended { outcome, info, load } = ended;
@@ -607,7 +617,7 @@
             }
             Action::Shed { id, pause } => {
                 let pause = Duration::from_micros(u64::try_from(pause).unwrap_or(0));
-                self.finish(id, Some(Answer::Refused(pause)));
+                self.refuse(id, Answer::Refused(pause));
             }
             Action::Lose(id) => self.finish(id, Some(Answer::Failed)),
             Action::Bounce(id) => {
@@ -630,6 +640,16 @@
         }
     }
 
+    /// Refuses a request, once the attempt that is out has been called off, which takes no wait. Guards against a
+    /// refusal that overtakes its attempt: its client may ask again while the server still works for it.
+    fn refuse(&mut self, id: RequestId, refusal: Answer) {
+        let out =
+            self.requests.get_mut(&id).filter(|r| !r.over).and_then(|r| Some((r.out.as_ref()?.number, r)));
+        let Some((number, request)) = out else { return self.finish(id, Some(refusal)) };
+        request.parting = Some(refusal);
+        self.outbound.withdraw(AttemptId { request: id, number }, false);
+    }
+
     fn route(&mut self, id: RequestId, host: HostId, expire: Micros) {
         let now = self.clock.now();
         let Some(request) = self.requests.get_mut(&id) else { return };
--- a/router/src/front/body.rs
+++ b/router/src/front/body.rs
@@ -1,6 +1,7 @@
 //! The body of a request on its way: read within limits of size, time and memory.
 
 use std::io::Write;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use flate2::write::MultiGzDecoder;
@@ -9,13 +10,17 @@
 use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
 use super::account::{Account, Claim};
 
 /// Compressed bytes that are taken at once: each may become a thousand, and must be counted first.
 const PIECE: usize = 1_024;
 
+/// How much, and for how long, is read of a body that nobody wants.
+const DRAIN_MOST: usize = 64 * 1024 * 1024;
+const DRAIN_FOR: Duration = Duration::from_secs(2);
+
 /// Why the body of a request was not read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum BodyError {
@@ -67,6 +72,8 @@
     pub(super) body: Incoming,
     pub(super) due: Instant,
     pub(super) ambiguous: bool,
+    /// Its client waits for the word to go on.
+    pub(super) waits: bool,
 }
 
 impl Arriving {
@@ -79,17 +86,43 @@
         if self.ambiguous {
             return Err(BodyError::Ambiguous);
         }
-        let coding = headers.map_or(Ok(Coding::Plain), coding)?;
         let declared = usize::try_from(self.body.size_hint().lower()).unwrap_or(usize::MAX);
-        if declared > most {
-            return Err(BodyError::TooLong(most));
+        let admitted =
+            headers.map_or(Ok(Coding::Plain), coding).and_then(|coding| match account.claim(declared) {
+                _ if declared > most => Err(BodyError::TooLong(most)),
+                Some(claim) => Ok((coding, claim)),
+                None => Err(BodyError::NoRoom),
+            });
+        let mut body = self.body;
+        let read = match admitted {
+            Ok((coding, claim)) => {
+                let reading = read(&mut body, coding, declared, most, claim);
+                timeout_at(self.due, reading).await.unwrap_or(Err(BodyError::Slow))
+            }
+            Err(error) => Err(error),
+        };
+        if read.is_err() && !self.waits {
+            tokio::task::spawn_local(drain(body));
         }
-        let claim = account.claim(declared).ok_or(BodyError::NoRoom)?;
-        let reading = read(self.body, coding, declared, most, claim);
-        timeout_at(self.due, reading).await.unwrap_or(Err(BodyError::Slow))
+        read
     }
 }
 
+/// Reads on and keeps nothing, for a while: a connection that is closed with something unread may take the answer
+/// with it before its client has seen it. A client that waits for the word to go on sends nothing.
+async fn drain(mut body: Incoming) {
+    let mut left = DRAIN_MOST;
+    let draining = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            left = left.saturating_sub(frame.into_data().map_or(0, |data| data.len()));
+            if left == 0 {
+                return;
+            }
+        }
+    };
+    let _ = timeout(DRAIN_FOR, draining).await;
+}
+
 /// Checks what the head says of the body: JSON, in a coding that is known here.
 fn coding(headers: &HeaderMap) -> Result<Coding, BodyError> {
     let word = |name| headers.get(name).map(|v| v.to_str().unwrap_or("?").to_ascii_lowercase());
@@ -110,7 +143,7 @@
 }
 
 async fn read(
-    mut body: Incoming, coding: Coding, declared: usize, most: usize, mut claim: Claim,
+    body: &mut Incoming, coding: Coding, declared: usize, most: usize, mut claim: Claim,
 ) -> Result<(Bytes, Claim), BodyError> {
     let mut decoder = MultiGzDecoder::new(Vec::new());
     let mut plain = BytesMut::with_capacity(if coding == Coding::Plain { declared } else { 0 });
--- a/router/src/front/inference/mod.rs
+++ b/router/src/front/inference/mod.rs
@@ -20,7 +20,9 @@
 use cranetack::{ClassId, Effect, Settings};
 use cranetack_batching::{Failure as SliceFailure, Flow, Opening, Order as Slice, Verdict};
 use cranetack_facts::Facts;
-use cranetack_inference::{join, ApiError, Batch, Catalogue, Chat, Endpoint, Fold, Form, Kind, Part};
+use cranetack_inference::{
+    join, ApiError, Batch, Catalogue, Chat, Endpoint, Fold, Form, Kind, Part, Resolved,
+};
 use http::header::{ALLOW, CONNECTION, CONTENT_TYPE};
 use http::request::Parts as Head;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
@@ -170,6 +172,14 @@
     }
 }
 
+/// A model as it is served.
+#[derive(Clone, Copy)]
+struct Known<'a> {
+    name: &'a str,
+    class: ClassId,
+    kinds: Option<u64>,
+}
+
 /// What a slice came to.
 enum Sliced {
     Served(Part, Claim),
@@ -305,20 +315,20 @@
         }
     }
 
-    /// The name that servers know a model by, and the class that it is served as.
-    fn model<'a>(&'a self, name: &'a str, endpoint: Endpoint) -> Result<(&'a str, ClassId), Failure> {
-        let (name, class) = self.catalogue.resolve(name, endpoint)?;
+    /// The name that servers know a model by, the class that it is served as, and the kinds of server that have it.
+    fn model<'a>(&'a self, name: &'a str, endpoint: Endpoint) -> Result<Known<'a>, Failure> {
+        let Resolved { name, class, kinds } = self.catalogue.resolve(name, endpoint)?;
         let own = Endpoint::ALL.iter().position(|e| *e == endpoint).map_or(0, |at| self.classes[at]);
-        Ok((name, ClassId(class.unwrap_or(own))))
+        Ok(Known { name, class: ClassId(class.unwrap_or(own)), kinds })
     }
 
     /// What the core is asked for a part of a request.
     fn asked(
-        &self, order: &Order, name: Rc<str>, class: ClassId, prompt_tokens: u64, message: Message,
+        &self, order: &Order, name: Rc<str>, model: Known, prompt_tokens: u64, message: Message,
     ) -> Asked {
         Asked {
             name,
-            class,
+            class: model.class,
             session: order.session.as_ref().map(|s| order.own_session(s)),
             prefix: None,
             patience: order.due.saturating_duration_since(Instant::now()),
@@ -328,6 +338,7 @@
             max_tokens: 0,
             retry: false,
             came_back: false,
+            kinds: model.kinds,
             message: Rc::new(message),
         }
     }
@@ -336,15 +347,15 @@
         &self, order: Order, body: Bytes, mut claim: Claim,
     ) -> Result<Response<AnswerBody>, Failure> {
         let chat = Chat::decode(&body, &self.setup.limits.bounds())?;
-        let (model, class) = self.model(&chat.model, Endpoint::Chat)?;
-        let sent = chat.encode(&body, model)?;
+        let model = self.model(&chat.model, Endpoint::Chat)?;
+        let sent = chat.encode(&body, model.name)?;
         drop(body);
         if !claim.grow_to(sent.len()) {
             return Err(Failure::Body(BodyError::NoRoom));
         }
         let name = order.name.name.clone();
         let mut asked =
-            self.asked(&order, name.clone(), class, chat.prompt_tokens, message(CHAT, &order.query, sent));
+            self.asked(&order, name.clone(), model, chat.prompt_tokens, message(CHAT, &order.query, sent));
         asked.max_tokens = chat.max_tokens.unwrap_or(0);
         asked.session = asked.session.or(chat.user.as_ref().map(|user| order.own_session(user)));
         let (answer, gone) = self.handle.ask(asked).answer().await;
@@ -411,12 +422,12 @@
     /// Serves a batch slice by slice. Finished slices are kept; one that fails is asked for again as the engine
     /// decides. The batch has one answer.
     async fn batch(&self, order: Order, batch: Batch, claim: Claim) -> Result<Response<AnswerBody>, Failure> {
-        let (model, class) = self.model(&batch.model, order.endpoint)?;
+        let model = self.model(&batch.model, order.endpoint)?;
         let mut hasher = DefaultHasher::new();
         order.tenant.hash(&mut hasher);
-        let effect = self.settings.classes.get(class.0).map(|c| c.effect).unwrap_or_default();
+        let effect = self.settings.classes.get(model.class.0).map(|c| c.effect).unwrap_or_default();
         let opening = Opening {
-            flow: Flow { class: u32::try_from(class.0).unwrap_or(u32::MAX), tenant: hasher.finish() },
+            flow: Flow { class: u32::try_from(model.class.0).unwrap_or(u32::MAX), tenant: hasher.finish() },
             tokens: batch.tokens.clone(),
             common: batch.common_tokens,
             first: self.setup.served(order.endpoint).slice_tokens,
@@ -440,7 +451,7 @@
                     Turn::Ended(verdict) => break verdict,
                     Turn::Send(_) => break Verdict::Failed,
                 },
-                sliced = self.slice(&order, &batch, model, class, &slice) => sliced,
+                sliced = self.slice(&order, &batch, model, &slice) => sliced,
             };
             match sliced {
                 Sliced::Served(part, claim) => {
@@ -474,21 +485,19 @@
     }
 
     /// Sends one slice and reads its answer.
-    async fn slice(
-        &self, order: &Order, batch: &Batch, model: &str, class: ClassId, slice: &Slice,
-    ) -> Sliced {
+    async fn slice(&self, order: &Order, batch: &Batch, model: Known<'_>, slice: &Slice) -> Sliced {
         let failed = Sliced::Failed(SliceFailure::Failed);
         // Each slice, and each repeat of one, is a request of its own to the servers.
         let base = &order.name.name;
         let name = if slice.number == 0 { base.clone() } else { format!("{base}.{}", slice.number).into() };
-        let body = batch.encode(&slice.items, model);
+        let body = batch.encode(&slice.items, model.name);
         let pause = i64::try_from(ROOM_AGAIN.as_micros()).unwrap_or(0);
         let Some(sending) = self.account.claim(body.len()) else {
             return Sliced::Failed(SliceFailure::NoRoom(pause));
         };
         let message = message(batch.form.target(), &order.query, body);
         // The guard ends with the slice: a client that leaves takes back the attempt that is out.
-        let asked = self.asked(order, name, class, slice.tokens, message);
+        let asked = self.asked(order, name, model, slice.tokens, message);
         let (answer, _gone) = self.handle.ask(asked).answer().await;
         let parts = match answer {
             Answer::Served { parts, .. } => parts,
--- a/router/src/front/inference/setup.rs
+++ b/router/src/front/inference/setup.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cranetack::Stage;
 use cranetack_batching::Settings;
 use cranetack_facts::Facts;
 use cranetack_inference::{Bounds, Catalogue, Endpoint, Model};
@@ -229,6 +230,31 @@
     pub embeddings: Option<String>,
     /// Its class for rerank.
     pub rerank: Option<String>,
+    /// The kinds of worker that have it; all where it does not say.
+    #[serde(default)]
+    pub kinds: Vec<String>,
+}
+
+/// Kinds of worker as bits. Together they must be able to read a prompt and to write its answer.
+fn kinds(facts: &Facts, names: &[String]) -> Result<Option<u64>, String> {
+    if names.is_empty() {
+        return Ok(None);
+    }
+    let settings = facts.settings()?;
+    let (mut bits, mut reads, mut writes) = (0, false, false);
+    for name in names {
+        let kind = facts.kinds.iter().position(|k| k == name).filter(|kind| *kind < 64);
+        let kind = kind.ok_or_else(|| format!("the settings have no kind {name:?}"))?;
+        bits |= 1 << kind;
+        let stage = settings.kinds.get(kind).and_then(|k| k.stage).unwrap_or(Stage::Both);
+        reads |= stage != Stage::Write;
+        writes |= stage != Stage::Read;
+    }
+    match (reads || (writes && settings.writers_read), writes) {
+        (true, true) => Ok(Some(bits)),
+        (false, _) => Err("none of them reads prompts".to_owned()),
+        (_, false) => Err("none of them writes answers".to_owned()),
+    }
 }
 
 impl Setup {
@@ -259,7 +285,8 @@
                 let key = format!("models[{at}].{}", endpoint.name());
                 *slot = of(endpoint).as_ref().map(|name| class(key, name)).transpose()?;
             }
-            models.push(Model { name: named.name.clone(), aliases: named.aliases.clone(), classes });
+            let kinds = kinds(facts, &named.kinds).map_err(|e| format!("models[{at}].kinds: {e}"))?;
+            models.push(Model { name: named.name.clone(), aliases: named.aliases.clone(), classes, kinds });
         }
         Catalogue::new(models)
     }
@@ -294,7 +321,11 @@
     fn facts() -> Facts {
         let class = |name: &str| json!({"name": name});
         let classes = [class("chat"), class("embeddings"), class("rerank")];
-        serde_json::from_value(json!({"classes": classes, "kinds": [], "zones": []})).unwrap()
+        serde_json::from_value(
+            json!({"classes": classes, "kinds": ["reader", "writer", "mixed"], "zones": [],
+            "domain": {"stage_of_kind": ["read", "write", "both"]}}),
+        )
+        .unwrap()
     }
 
     const FILE: &str = include_str!("../../../../deploy/inference.toml");
@@ -324,6 +355,9 @@
             ("chat = \"chat\"", "chat = \"other\"", "models[0].chat"),
             ("aliases = [\"parts\"]", "aliases = [\"parts-embed\"]", "models[1].name"),
             ("aliases = [\"parts\"]", "alias = \"parts\"", "models[0]"),
+            ("aliases = [\"parts\"]", "kinds = [\"other\"]", "models[0].kinds: the settings have no"),
+            ("aliases = [\"parts\"]", "kinds = [\"reader\"]", "models[0].kinds: none of them writes"),
+            ("aliases = [\"parts\"]", "kinds = [\"writer\"]", "models[0].kinds: none of them reads"),
         ] {
             assert!(FILE.contains(from), "{from}");
             let read = parse_toml(&FILE.replace(from, to)).and_then(|s: Setup| s.check(&facts()));
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::header::{CONNECTION, CONTENT_TYPE, EXPECT, RETRY_AFTER};
 use http::{HeaderValue, Request, Response};
 use http_body::{Body, Frame};
 use http_body_util::Full;
@@ -205,7 +205,9 @@
         Box::pin(async move {
             let open = desk.open();
             let (due, ambiguous) = (open.due(), desk.is_ambiguous());
-            let mut response = front.answer(request.map(|body| Arriving { body, due, ambiguous })).await;
+            let waits = request.headers().contains_key(EXPECT);
+            let arriving = |body| Arriving { body, due, ambiguous, waits };
+            let mut response = front.answer(request.map(arriving)).await;
             // A client that is told now asks elsewhere next, and its connection needs no closing later.
             if *phase.borrow() >= Phase::Leaving || desk.is_last() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/router/src/front/platform.rs
+++ b/router/src/front/platform.rs
@@ -137,6 +137,7 @@
         max_tokens: 0,
         retry: retry.is_some(),
         came_back: retry == Some("again"),
+        kinds: None,
         message: Rc::new(Message { target, media_type, body }),
     };
     for pair in header(headers, "X-Extras")?.unwrap_or("").split(',') {
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -23,10 +23,31 @@
     Serve(Files),
     /// Read the files and say whether they can be used.
     CheckConfig(Files),
+    /// Run the conformance suite of the inference API against a service, such as this router's second front.
+    Conform(Conform),
     /// Print the version.
     Version,
 }
 
+#[derive(Args)]
+struct Conform {
+    /// The service's address, such as http://127.0.0.1:8090.
+    #[arg(long)]
+    base: String,
+    /// A file of cases; the suite as shipped without it.
+    #[arg(long)]
+    cases: Option<PathBuf>,
+    /// Only cases whose names hold this.
+    #[arg(long)]
+    only: Option<String>,
+    /// A tenant's key that is sent with each case.
+    #[arg(long, env = "CRANETACK_KEY", hide_env_values = true)]
+    key: Option<String>,
+    /// One line of JSON for each case, in place of text.
+    #[arg(long)]
+    json: bool,
+}
+
 #[derive(Args)]
 struct Files {
     /// The configuration file.
@@ -82,9 +103,38 @@
     }
 }
 
+/// Runs the suite; whether all passed.
+fn conform(asked: &Conform) -> Result<bool, Box<dyn std::error::Error>> {
+    let text = match &asked.cases {
+        Some(path) => std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?,
+        None => cranetack_conform::CASES.to_owned(),
+    };
+    let mut cases = cranetack_conform::cases(&text)?;
+    cases.retain(|c| asked.only.as_ref().is_none_or(|only| c.name.contains(only.as_str())));
+    let base = cranetack_conform::Base::new(&asked.base, asked.key.clone())?;
+    let (all, mut told) = (cases.len(), 0);
+    let tell = |outcome: &cranetack_conform::Outcome| {
+        told += 1;
+        if asked.json {
+            println!("{}", serde_json::to_string(outcome).unwrap_or_default());
+        } else if !outcome.problems.is_empty() {
+            println!("FAILED {}\n    {}", outcome.name, outcome.problems.join("\n    "));
+        }
+        if told % 50 == 0 {
+            eprintln!("{told} of {all} cases");
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let outcomes = runtime.block_on(cranetack_conform::run(&base, &cases, tell));
+    let failed = outcomes.iter().filter(|o| !o.problems.is_empty()).count();
+    println!("conformance: {} passed, {failed} failed", outcomes.len() - failed);
+    Ok(failed == 0)
+}
+
 fn main() -> ExitCode {
     match run(Cli::parse().command) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
         Err(error) => {
             eprintln!("cranetack: {error}");
             ExitCode::FAILURE
@@ -92,7 +142,8 @@
     }
 }
 
-fn run(command: Command) -> Result<(), Box<dyn std::error::Error>> {
+/// Whether all went well.
+fn run(command: Command) -> Result<bool, Box<dyn std::error::Error>> {
     match command {
         Command::Serve(files) => {
             let filter = tracing_subscriber::EnvFilter::try_from_env("CRANETACK_LOG")
@@ -104,7 +155,8 @@
                 let tenants = tenants.map(tenants::Tenants::follow);
                 Extras { inference, tenants, control, discovery: Some(discovery()) }
             };
-            Ok(cranetack_router::run(config, extras, shutdown::terminated)?)
+            cranetack_router::run(config, extras, shutdown::terminated)?;
+            Ok(true)
         }
         Command::CheckConfig(files) => {
             let Loaded { config, inference, tenants, control } = files.load()?;
@@ -118,11 +170,12 @@
             if let Some(setup) = control {
                 println!("other proxies on {}", setup.listen);
             }
-            Ok(())
+            Ok(true)
         }
+        Command::Conform(asked) => conform(&asked),
         Command::Version => {
             println!("cranetack {}", env!("CARGO_PKG_VERSION"));
-            Ok(())
+            Ok(true)
         }
     }
 }
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -26,6 +26,21 @@
     pub stopped: tokio::task::JoinHandle<()>,
 }
 
+const SHIPPED: &str = include_str!("../../../deploy/inference.toml");
+
+/// The second front's file for most tests: small slices, and any name of a model will do.
+pub fn file(edits: &[(&str, &str)]) -> String {
+    let file = SHIPPED
+        .replace("slice_tokens = 2048", "slice_tokens = 256")
+        .replace("slice_target_ms = 200", "slice_target_ms = 20");
+    let mut file = file.split("# Without any model").next().unwrap_or_default().to_owned();
+    for (from, to) in edits {
+        assert!(file.contains(from), "{from}");
+        file = file.replace(from, to);
+    }
+    file
+}
+
 impl Bed {
     /// A router on both fronts, ready for requests.
     pub async fn start(lines: Vec<Value>) -> Bed {
@@ -37,32 +52,25 @@
     }
 
     pub async fn start_set(lines: Vec<Value>, tenants: Option<Tenants>, settings: Value) -> Bed {
-        Bed::start_all(lines, tenants, settings, &[]).await
+        Bed::start_all(lines, tenants, settings, &file(&[])).await
     }
 
     /// With other words in the second front's file.
     pub async fn start_front(lines: Vec<Value>, edits: &[(&str, &str)]) -> Bed {
-        Bed::start_all(lines, None, settings(), edits).await
+        Bed::start_all(lines, None, settings(), &file(edits)).await
     }
 
-    async fn start_all(
-        lines: Vec<Value>, tenants: Option<Tenants>, settings: Value, edits: &[(&str, &str)],
-    ) -> Bed {
+    /// With the second front's file as it is shipped.
+    pub async fn start_shipped(lines: Vec<Value>) -> Bed {
+        Bed::start_all(lines, None, settings(), SHIPPED).await
+    }
+
+    async fn start_all(lines: Vec<Value>, tenants: Option<Tenants>, settings: Value, file: &str) -> Bed {
         let discovery = Discovery::start(lines).await;
         let config = json!({"name": "r0", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
             "seed": "7", "limits": {"sockets": 64}, "settings": settings});
         let config = Config::parse(config.to_string().as_bytes()).unwrap();
-        let file = include_str!("../../../deploy/inference.toml");
-        let file = file
-            .replace("127.0.0.1:8090", "127.0.0.1:0")
-            .replace("slice_tokens = 2048", "slice_tokens = 256")
-            .replace("slice_target_ms = 200", "slice_target_ms = 20");
-        // Any name of a model will do.
-        let mut file = file.split("# Without any model").next().unwrap_or_default().to_owned();
-        for (from, to) in edits {
-            assert!(file.contains(from), "{from}");
-            file = file.replace(from, to);
-        }
+        let file = file.replace("127.0.0.1:8090", "127.0.0.1:0");
         let listen = "127.0.0.1:0".parse().unwrap();
         let control = control::Setup { listen, period_ms: 5, weight_steps: 20 };
         let (moves, moved) = watch::channel(discovery.address);
--- a/router/tests/core.rs
+++ b/router/tests/core.rs
@@ -1,6 +1,7 @@
 //! The core alone, with an upstream that only notes what it is told and a clock that is set by hand.
 
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -151,6 +152,7 @@
         max_tokens: 10,
         retry: false,
         came_back: false,
+        kinds: None,
         message: Rc::default(),
     }
 }
@@ -267,6 +269,23 @@
     assert!(matches!(caller.answer().await.0, Answer::Refused(_)));
 }
 
+/// Guards against a refusal that overtakes its attempt: a client may ask again at once, while a server still works for
+/// the first try. Seen as an order refused at its deadline just before its read was called off.
+#[tokio::test(start_paused = true)]
+async fn a_refusal_waits_until_the_attempt_that_is_out_has_been_called_off() {
+    let mut bench = Bench::new(Effect::Unsafe);
+    let caller = bench.ask();
+    bench.notes.take();
+    tokio::time::advance(Duration::from_millis(2_010)).await;
+    bench.core.fire();
+    assert_eq!(bench.notes.take(), [Told::Withdraw(attempt(0))]);
+    let answer = caller.answer();
+    tokio::pin!(answer);
+    assert!(std::future::poll_fn(|cx| std::task::Poll::Ready(answer.as_mut().poll(cx).is_pending())).await);
+    bench.ended(0, Outcome::Cancelled);
+    assert!(matches!(answer.await.0, Answer::Refused(_)));
+}
+
 /// Guards against memory held for bodies while their answers stream: nothing further is sent for them.
 #[tokio::test(start_paused = true)]
 async fn a_body_is_let_go_once_its_answer_has_begun() {
--- a/router/tests/program.rs
+++ b/router/tests/program.rs
@@ -4,7 +4,7 @@
 
 use std::process::{Command, Stdio};
 
-use common::{run, settings, Discovery};
+use common::{line, run, settings, Behaviour, Client, Discovery, Worker};
 use serde_json::json;
 
 /// Guards against a program that ends on SIGHUP, as the system has it by default: the file is read again, and
@@ -39,3 +39,59 @@
         std::fs::remove_file(&path).unwrap();
     });
 }
+
+/// Guards against signals that cost a batch its answer: SIGHUP changes nothing of it, and SIGTERM lets it end.
+#[test]
+fn a_batch_is_served_through_a_hangup_and_to_its_end_after_a_termination() {
+    run(async {
+        let worker = Worker::start(4, Behaviour::Answer).await;
+        worker.takes.set(std::time::Duration::from_millis(50));
+        let discovery = Discovery::start(vec![line(&worker, "mixed", "up")]).await;
+        let folder = std::env::temp_dir().join(format!("cranetack-batch-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let [config_at, front_at] = ["config.json", "inference.toml"].map(|name| folder.join(name));
+        let free = || std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let (listen, front) = (free(), free());
+        let config = json!({"name": "r0", "listen": listen.to_string(), "seed": "7", "limits": {"sockets": 64},
+            "discovery": discovery.address.to_string(), "settings": settings()});
+        std::fs::write(&config_at, config.to_string()).unwrap();
+        let file = common::file(&[(
+            "least_tokens = 16\nmost_tokens = 65536",
+            "least_tokens = 256\nmost_tokens = 256",
+        )]);
+        std::fs::write(&front_at, file.replace("127.0.0.1:8090", &front.to_string())).unwrap();
+        let mut program = Command::new(env!("CARGO_BIN_EXE_cranetack"))
+            .args(["serve", "--config"])
+            .arg(&config_at)
+            .arg("--inference")
+            .arg(&front_at)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        let signal = |name: &str| {
+            let kill = Command::new("kill").args([name, &program.id().to_string()]).status();
+            assert!(kill.unwrap().success());
+        };
+        while tokio::net::TcpStream::connect(listen).await.is_err()
+            || Client::connect(listen).await.get("/up").await.0 != 200
+        {
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+        let documents: Vec<String> = (0..18).map(|n| format!("{n} {}", "x".repeat(500))).collect();
+        let body = json!({"model": "m", "query": "q", "documents": documents});
+        let asked =
+            tokio::task::spawn_local(
+                async move { Client::connect(front).await.post("/v1/rerank", body).await },
+            );
+        worker.until(|seen| seen.len() > 2).await;
+        signal("-HUP");
+        worker.until(|seen| seen.len() > 6).await;
+        signal("-TERM");
+        let (status, answer) = asked.await.unwrap();
+        assert_eq!((status, answer["results"].as_array().map(Vec::len)), (200, Some(18)));
+        assert_eq!(worker.began("/v1/rerank"), 9);
+        let ended = tokio::task::spawn_blocking(move || program.wait().unwrap()).await.unwrap();
+        assert!(ended.success());
+        std::fs::remove_dir_all(&folder).unwrap();
+    });
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -231,6 +231,15 @@
     pub retry: bool,
     /// The client returns after a break or a move of its stream.
     pub came_back: bool,
+    /// The kinds of server that it may go to, a bit for each of the first 64; any where it does not say.
+    pub kinds: Option<u64>,
+}
+
+impl Ask {
+    /// Whether it may go to a server of this kind.
+    pub fn fits(&self, kind: KindId) -> bool {
+        self.kinds.is_none_or(|kinds| kind.0 < 64 && kinds >> kind.0 & 1 == 1)
+    }
 }
 
 /// A server's load report. What it does not carry is `None`.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -220,7 +220,7 @@
     /// How it stands towards each server it knows, by its part of the lane score. Decides nothing.
     pub fn standings(&mut self, now: Micros) -> Vec<Standing> {
         self.now = now;
-        let (fleet, ask) = (self.fleet(), Ask::default());
+        let (fleet, ask) = (self.fleet(), Ask { class: ANY_CLASS, ..Ask::default() });
         let of = |(id, host): (&HostId, &Host)| {
             let stage = self.stage(host);
             let reads = Some(self.reader_half(&ask, *id, None, 0)).filter(|_| stage != Stage::Write);
@@ -228,7 +228,7 @@
             let sum = |part: fn(&Half) -> f64| reads.iter().chain(&writes).map(part).sum::<f64>();
             let most = reads.map_or(0.0, |_| WEIGHTS[2]) + writes.map_or(0.0, |_| WEIGHTS[1] + WEIGHTS[3]);
             let fresh = reads.iter().chain(&writes).all(|h| h.fresh);
-            let takes = self.takes(*id, ANY_CLASS) && fresh && sum(|h| h.load) <= TAU;
+            let takes = self.takes(*id, &ask) && fresh && sum(|h| h.load) <= TAU;
             Standing { host: *id, takes, worth: (sum(|h| h.worth) / most).clamp(0.0, 1.0) }
         };
         self.hosts.iter().map(of).collect()
@@ -546,10 +546,10 @@
         self.hosts.get(&id).is_some_and(|h| h.listed && (!self.is_cold(h) || self.now >= h.cold_turn))
     }
 
-    /// Whether it is open and not set aside for failures.
-    fn takes(&self, id: HostId, class: ClassId) -> bool {
+    /// Whether it is open, of a kind that the request may go to, and not set aside for failures.
+    fn takes(&self, id: HostId, ask: &Ask) -> bool {
         let aside = |key| self.hosts[&id].fails.get(key).is_some_and(|(_, until)| self.now < *until);
-        self.open(id) && ![None, Some(class)].iter().any(aside)
+        self.open(id) && ask.fits(self.hosts[&id].member.kind) && ![None, Some(ask.class)].iter().any(aside)
     }
 
     /// Whether another attempt (at `to`, where it could run) cannot repeat an effect.
@@ -824,7 +824,7 @@
         let (salt, ask) = (self.rng.next_u64(), self.requests[&id].ask);
         for (id, host) in &self.hosts {
             let room = host.held[0] < host.limits[0].most && host.held[1] + host.coming < host.limits[1].most;
-            if !room || !self.takes(*id, ask.class) {
+            if !room || !self.takes(*id, &ask) {
                 continue;
             }
             let (dice, stage) = (mix(salt ^ id.0) as u32, self.stage(host));
@@ -853,14 +853,14 @@
         let salt = self.rng.next_u64();
         let (request, _) = (self.requests.get(&id)?, self.hosts.get(&reader)?);
         let ask = request.ask;
-        if let Some(place) = request.place.filter(|w| self.takes(*w, ask.class)) {
+        if let Some(place) = request.place.filter(|w| self.takes(*w, &ask)) {
             return Some(place);
         }
         let fleet = self.fleet();
         let half = Half { load: 0.0, fresh: true, whole: false, ..self.reader_half(&ask, reader, None, 0) };
         let hosts = self.hosts.iter().filter(|(_, h)| self.stage(h) != Stage::Read).map(|(id, _)| *id);
         let of = |id| Half { whole: false, ..self.writer_half(id, &fleet, mix(salt ^ id.0) as u32) };
-        let writers: Vec<_> = hosts.filter(|id| self.takes(*id, ask.class)).map(of).collect();
+        let writers: Vec<_> = hosts.filter(|id| self.takes(*id, &ask)).map(of).collect();
         best_lane(&[half], &writers, 1).map(|(_, writer)| writer)
     }
 
--- a/standins/src/client.rs
+++ b/standins/src/client.rs
@@ -82,6 +82,22 @@
         self.0.write_all(text.as_bytes()).await.unwrap();
     }
 
+    /// Sends all of this while what is said is read, and gives what was said until the router closes.
+    pub async fn exchange(&mut self, parts: &[&[u8]]) -> String {
+        let (mut reads, mut writes) = self.0.split();
+        let mut said = Vec::new();
+        let sending = async {
+            for part in parts {
+                // A router that refuses may close before all is sent.
+                if writes.write_all(part).await.is_err() {
+                    return;
+                }
+            }
+        };
+        let (_, _) = tokio::join!(sending, reads.read_to_end(&mut said));
+        String::from_utf8_lossy(&said).into_owned()
+    }
+
     /// All that is said until the router closes the connection.
     pub async fn until_closed(&mut self) -> String {
         let mut said = Vec::new();
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -101,6 +101,9 @@
     Room(String, String),
 }
 
+type OnBegan = Box<dyn Fn(&str, &[u8])>;
+type OnFreed = Box<dyn Fn(&str)>;
+
 pub struct Worker {
     pub address: SocketAddr,
     pub behaviour: Cell<Behaviour>,
@@ -109,6 +112,14 @@
     /// How long a request takes, and how much longer for each KiB of its body.
     pub takes: Cell<Duration>,
     pub takes_by_kib: Cell<Duration>,
+    /// Every so many requests one fails, in turn by a break and by an answer that leaves an item out; 0 for none.
+    pub fails_every: Cell<usize>,
+    served: Cell<usize>,
+    /// Whether nothing is noted: what is seen grows without end.
+    pub quiet: Cell<bool>,
+    /// Called where a request begins, with its id and body, and where its place is freed.
+    pub on_began: RefCell<Option<OnBegan>>,
+    pub on_freed: RefCell<Option<OnFreed>>,
     pub seen: RefCell<Vec<Seen>>,
     /// The most attempts of one request that were here at once.
     pub most_at_once: Cell<usize>,
@@ -126,10 +137,18 @@
 
 impl Drop for InPlace<'_> {
     fn drop(&mut self) {
-        if let Some(n) = self.worker.out.borrow_mut().get_mut(&self.id) {
+        let mut out = self.worker.out.borrow_mut();
+        if let Some(n) = out.get_mut(&self.id) {
             *n -= 1;
+            if *n == 0 {
+                out.remove(&self.id);
+            }
         }
+        drop(out);
         self.worker.note(Seen::Freed(self.id.clone()));
+        if let Some(told) = &*self.worker.on_freed.borrow() {
+            told(&self.id);
+        }
     }
 }
 
@@ -143,6 +162,11 @@
             drops: Cell::default(),
             takes: Cell::new(Duration::from_millis(2)),
             takes_by_kib: Cell::default(),
+            fails_every: Cell::default(),
+            served: Cell::default(),
+            quiet: Cell::default(),
+            on_began: RefCell::default(),
+            on_freed: RefCell::default(),
             seen: RefCell::default(),
             most_at_once: Cell::default(),
             out: RefCell::default(),
@@ -179,6 +203,9 @@
     }
 
     fn note(&self, seen: Seen) {
+        if self.quiet.get() {
+            return;
+        }
         self.seen.borrow_mut().push(seen);
         self.news.notify_waiters();
     }
@@ -187,6 +214,10 @@
         self.seen.borrow().iter().filter(|s| matches!(s, Seen::Began(p, _) if p == path)).count()
     }
 
+    fn count_of(&self, id: &str) -> usize {
+        self.seen.borrow().iter().filter(|s| matches!(s, Seen::Began(_, i) if i == id)).count()
+    }
+
     /// Waits until what was seen fits.
     pub async fn until(&self, fits: impl Fn(&[Seen]) -> bool) {
         loop {
@@ -226,10 +257,21 @@
         let _place = self.places.acquire().await;
         self.note(Seen::Began(path.clone(), id.clone()));
         let mut toy = Toy::of(&id, &body);
-        let seen = self.seen.borrow().iter().filter(|s| matches!(s, Seen::Began(_, i) if *i == id)).count();
-        if toy.times.is_some_and(|times| seen > times) {
+        if toy.times.is_some_and(|times| self.count_of(&id) > times) {
             toy = Toy { ms: toy.ms, ..Toy::default() };
         }
+        if let Some(told) = &*self.on_began.borrow() {
+            told(&id, &body);
+        }
+        if self.fails_every.get() > 0 {
+            let served = self.served.replace(self.served.get() + 1);
+            if served.is_multiple_of(self.fails_every.get()) {
+                match served / self.fails_every.get() % 2 {
+                    0 => toy.does = Some(Behaviour::Break),
+                    _ => toy.spoils = Some(Spoils::Missing),
+                }
+            }
+        }
         let by_size = self.takes_by_kib.get().as_secs_f64() * body.len() as f64 / 1024.0;
         let takes = toy.ms.map_or(self.takes.get(), Duration::from_millis);
         tokio::time::sleep(takes + Duration::from_secs_f64(by_size)).await;
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -562,3 +562,31 @@
     front.on(Event::Members { form: ListForm::Patch, members: vec![] });
     assert_eq!(front.policy.standings(front.now).len(), 2);
 }
+
+/// Guards against a request sent to a kind of server that does not have its model, also where all others are set aside.
+#[test]
+fn a_request_goes_to_the_kinds_that_it_names_alone() {
+    let members = vec![member(1, 2, 0), member(2, 0, 0), member(3, 1, 0), member(4, 2, 0)];
+    let mixed = |id, now| Ask { kinds: Some(1 << 2), ..ask(id, now) };
+    let sent = |kinds: Option<u64>| {
+        let (mut front, _) = Front::new(settings(Effect::Safe), members.clone());
+        let mut hosts = Vec::new();
+        // None of them ends: each goes where there is most room.
+        for id in 0..40 {
+            let now = front.now;
+            hosts.extend(routes(&front.ask(Ask { kinds, ..ask(id, now) })).iter().map(|(_, host)| *host));
+            front.pass(SECOND / 50);
+        }
+        hosts.sort_unstable();
+        hosts.dedup();
+        hosts
+    };
+    assert_eq!((sent(None), sent(Some(1 << 2))), (vec![1, 2, 4], vec![1, 4]));
+    // None of them is left: it waits, and is refused by its deadline.
+    let (mut front, _) = Front::new(settings(Effect::Safe), members[1..3].to_vec());
+    let now = front.now;
+    let mut actions = front.ask(mixed(1, now));
+    actions.extend(front.pass(4 * SECOND).into_iter().map(|(_, action)| action));
+    assert_eq!(routes(&actions), vec![]);
+    assert!(actions.iter().any(|a| matches!(a, Action::Shed { .. })));
+}
