--- a/batching/src/engine.rs
+++ b/batching/src/engine.rs
@@ -37,7 +37,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Settings {
-            slice_target: 200_000,
+            slice_target: 50_000,
             least_tokens: 16,
             most_tokens: 65_536,
             quantum: 1_024,
--- a/router/src/front/account.rs
+++ b/router/src/front/account.rs
@@ -26,6 +26,17 @@
         claim.grow_to(bytes).then_some(claim)
     }
 
+    /// Claims bytes for a body. Guards against bodies that take all there is, so that nothing could be sent for any of
+    /// them: a quarter is left for slices and answers.
+    pub fn claim_body(&self, bytes: usize) -> Option<Claim> {
+        self.has_room_for_bodies(bytes).then(|| self.claim(bytes)).flatten()
+    }
+
+    /// Whether bodies may hold so many bytes more.
+    pub fn has_room_for_bodies(&self, more: usize) -> bool {
+        more <= (self.0.most - self.0.most / 4).saturating_sub(self.0.now.get())
+    }
+
     /// Bytes that are claimed, and the most that ever were.
     pub fn held(&self) -> (usize, usize) {
         (self.0.now.get(), self.0.peak.get())
@@ -39,6 +50,12 @@
 }
 
 impl Claim {
+    /// Grows as a body does: see [`Account::claim_body`].
+    #[must_use]
+    pub fn grow_body_to(&mut self, bytes: usize) -> bool {
+        self.account.has_room_for_bodies(bytes.saturating_sub(self.bytes)) && self.grow_to(bytes)
+    }
+
     /// Grows to so many bytes, if there are; otherwise it stays. It never shrinks so.
     #[must_use]
     pub fn grow_to(&mut self, bytes: usize) -> bool {
@@ -71,6 +88,16 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn bodies_leave_a_quarter_for_what_is_made_of_them() {
+        let account = Account::new(100);
+        let body = account.claim_body(70).unwrap();
+        assert!(account.claim_body(6).is_none());
+        assert!(account.claim(30).is_some());
+        drop(body);
+        assert!(account.claim_body(75).is_some());
+    }
+
     #[test]
     fn claims_never_pass_the_account_and_come_back_when_dropped() {
         let account = Account::new(100);
--- a/router/src/front/body.rs
+++ b/router/src/front/body.rs
@@ -88,7 +88,7 @@
         }
         let declared = usize::try_from(self.body.size_hint().lower()).unwrap_or(usize::MAX);
         let admitted =
-            headers.map_or(Ok(Coding::Plain), coding).and_then(|coding| match account.claim(declared) {
+            headers.map_or(Ok(Coding::Plain), coding).and_then(|coding| match account.claim_body(declared) {
                 _ if declared > most => Err(BodyError::TooLong(most)),
                 Some(claim) => Ok((coding, claim)),
                 None => Err(BodyError::NoRoom),
@@ -175,7 +175,7 @@
     if length > most {
         return Err(BodyError::TooLong(most));
     }
-    if claim.grow_to(held) {
+    if claim.grow_body_to(held) {
         Ok(())
     } else {
         Err(BodyError::NoRoom)
--- a/router/src/front/inference/setup.rs
+++ b/router/src/front/inference/setup.rs
@@ -349,7 +349,7 @@
             ("body_bytes = 16777216", "body_bytes = 0", "limits.body_bytes"),
             ("held_bytes = 67108864", "held_bytes = 1000", "limits.held_bytes"),
             ("depth = 64", "depth = 101", "limits.depth"),
-            ("slice_target_ms = 200", "slice_target_ms = 0", "batches.slice_target_ms"),
+            ("slice_target_ms = 50", "slice_target_ms = 0", "batches.slice_target_ms"),
             ("repeat_share = 0.2", "repeat_share = 2.0", "batches.repeat_share"),
             ("most_tokens = 65536", "most_tokens = 1", "batches.most_tokens"),
             ("chat = \"chat\"", "chat = \"other\"", "models[0].chat"),
--- a/standins/src/client.rs
+++ b/standins/src/client.rs
@@ -26,6 +26,7 @@
 impl Client {
     pub async fn connect(address: SocketAddr) -> Client {
         let stream = TcpStream::connect(address).await.unwrap();
+        stream.set_nodelay(true).unwrap();
         let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.unwrap();
         let driver = spawn_local(async move { drop(connection.await) }).abort_handle();
         Client { sender, driver }
--- a/standins/src/discovery.rs
+++ b/standins/src/discovery.rs
@@ -56,6 +56,7 @@
         let here = discovery.clone();
         spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                let _ = stream.set_nodelay(true);
                 let discovery = here.clone();
                 let connection = spawn_local(async move {
                     let service = service_fn(|request| discovery.clone().serve(request));
