Count streams of the second front in its account of bytes

Need: the account covered bodies, slices, results and whole answers, but a chat's stream gave its claim back when its answer began, while up to 32 parts of it may wait for a client that reads slowly.

Change: a chat claims 64 KiB at least before anything is sent for it, and keeps that until its stream has ended; where there is no room it is told to come back.

--- a/router/src/front/inference/mod.rs
+++ b/router/src/front/inference/mod.rs
@@ -51,6 +51,8 @@
 const PATIENCE_MOST: Duration = Duration::from_secs(600);
 /// The longest pause that a client is told where the settings are silent.
 const COME_BACK_MOST: Duration = Duration::from_secs(10);
+/// What a stream's parts count for while they wait for its client.
+const STREAM_HELD: usize = 64 * 1024;
 /// After how long a client may come back where all bytes are in use.
 const ROOM_AGAIN: Duration = Duration::from_millis(500);
 
@@ -350,7 +352,8 @@
         let model = self.model(&chat.model, Endpoint::Chat)?;
         let sent = chat.encode(&body, model.name)?;
         drop(body);
-        if !claim.grow_to(sent.len()) {
+        // What the answer will hold is claimed before anything is sent for it.
+        if !claim.grow_to(sent.len().max(STREAM_HELD)) {
             return Err(Failure::Body(BodyError::NoRoom));
         }
         let name = order.name.name.clone();
@@ -360,18 +363,17 @@
         asked.session = asked.session.or(chat.user.as_ref().map(|user| order.own_session(user)));
         let (answer, gone) = self.handle.ask(asked).answer().await;
         let (media_type, parts) = served(answer, order.due)?;
-        // Nothing further is sent for it.
-        drop(claim);
+        // Nothing further is sent for it: the body is let go.
+        claim.shrink_to(STREAM_HELD);
         let events = media_type.starts_with(EVENTS);
         if chat.stream && events {
-            let mut response = Response::new(AnswerBody::other(EventStream::new(parts, gone)));
+            let mut response = Response::new(AnswerBody::other(EventStream::new(parts, gone, claim)));
             response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(EVENTS));
             return Ok(response);
         }
         if chat.stream {
             return Ok(streamed(&media_type, parts, gone));
         }
-        let claim = self.account.claim(0).ok_or(Failure::Failed)?;
         if !events {
             let (whole, claim) = self.whole(parts, claim).await?;
             serde_json::from_slice::<serde_json::Map<String, serde_json::Value>>(&whole)
@@ -401,7 +403,6 @@
         if !claim.grow_to(whole.len()) {
             return Err(Failure::Failed);
         }
-        claim.shrink_to(whole.len());
         Ok((whole, claim))
     }
 
--- a/router/src/front/inference/stream.rs
+++ b/router/src/front/inference/stream.rs
@@ -8,6 +8,7 @@
 use http_body::{Body, Frame};
 
 use crate::exchange::{Broken, Gone, Parts};
+use crate::front::account::Claim;
 
 enum State {
     Passing,
@@ -23,14 +24,16 @@
     parts: Parts,
     /// Tells when the client is done.
     _gone: Gone,
+    /// What its parts count for.
+    _claim: Claim,
     events: Events,
     state: State,
 }
 
 impl EventStream {
     /// The events of a server's answer.
-    pub fn new(parts: Parts, gone: Gone) -> EventStream {
-        EventStream { parts, _gone: gone, events: Events::default(), state: State::Passing }
+    pub fn new(parts: Parts, gone: Gone, claim: Claim) -> EventStream {
+        EventStream { parts, _gone: gone, _claim: claim, events: Events::default(), state: State::Passing }
     }
 
     fn next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
--- a/router/tests/batches.rs
+++ b/router/tests/batches.rs
@@ -232,6 +232,33 @@
     });
 }
 
+/// Guards against streams that hold memory which nobody counts: where they hold all, the next one is told to come back,
+/// and is served once one has ended.
+#[test]
+fn streams_count_in_the_account_until_they_end() {
+    run(async {
+        let worker = Worker::start(8, Behaviour::Answer).await;
+        let small = [
+            ("held_bytes = 67108864", "held_bytes = 140000"),
+            ("body_bytes = 16777216", "body_bytes = 100000"),
+        ];
+        let bed = bed(&[&worker], &small).await;
+        let chat = |ms: u64| json!({"model": "m", "stream": true, "toy": {"ms": ms}, "messages": [{"role": "user", "content": "x"}]});
+        let address = bed.inference;
+        let first: Vec<_> = (0..2)
+            .map(|_| spawn_local(async move { Client::connect(address).await.post(CHAT, chat(300)).await.0 }))
+            .collect();
+        worker.until(|seen| seen.iter().filter(|s| matches!(s, Seen::Began(..))).count() == 2).await;
+        let (status, headers, answer) = post(&bed, CHAT, &[], &chat(1)).await;
+        assert_eq!((status, &answer["error"]["code"]), (503, &json!("overloaded")));
+        assert!(headers.contains_key("retry-after"));
+        for one in first {
+            assert_eq!(one.await.unwrap(), 200);
+        }
+        assert_eq!(post(&bed, CHAT, &[], &chat(1)).await.0, 200);
+    });
+}
+
 #[test]
 fn slow_senders_and_slow_readers_are_cut() {
     run(async {
