Fail, do not refuse, a batch of an unsafe class whose slices have run

A batch that its own pace showed to be hopeless, or one of whose slices was refused after others had been served, was answered with 503, which tells its client that trying again is harmless. For a class that must not run twice it is not: the slices before had run.

Change: the engine turns such a refusal into a failure (502). So does the front where a finished batch finds no room for its answer. The model's check says that no refusal follows a slice of an unsafe class that may have run.

--- a/batching/src/engine.rs
+++ b/batching/src/engine.rs
@@ -392,6 +392,10 @@
             if let State::Pausing(at) = batch.state {
                 self.times.remove(&(at, id));
             }
+            // A refusal says that trying again is harmless, which is untrue where slices ran that must not run twice.
+            let ran = !batch.repeats && batch.served > 0;
+            let verdict =
+                if ran && matches!(verdict, Verdict::Refused(_)) { Verdict::Failed } else { verdict };
             if !matches!(batch.state, State::Over) {
                 batch.state = State::Over;
                 self.verdicts.push_back((id, verdict));
--- a/batching/tests/engine.rs
+++ b/batching/tests/engine.rs
@@ -147,6 +147,11 @@
             prop_assert!(batch.verdict.replace(verdict).is_none(), "two verdicts");
             prop_assert_eq!(verdict == Verdict::Whole, batch.served == batch.items);
             prop_assert!(verdict != Verdict::Late || now >= batch.due);
+            let refused = matches!(verdict, Verdict::Refused(_));
+            prop_assert!(
+                !refused || batch.repeats || batch.may_have_run.max(batch.served) == 0,
+                "not harmless"
+            );
             batch.out = None;
         }
         let out = known.values().filter(|k| k.out.is_some()).count();
--- a/router/src/front/inference/mod.rs
+++ b/router/src/front/inference/mod.rs
@@ -463,7 +463,7 @@
                 Sliced::Taken => return Err(Failure::Taken),
                 // A router that leaves waits for nothing: its clients ask another one.
                 Sliced::Failed(SliceFailure::NoRoom(pause)) if *self.phase.borrow() >= Phase::Leaving => {
-                    return Err(refused(pause));
+                    ticket.failed(SliceFailure::Refused(pause));
                 }
                 Sliced::Failed(failure) => ticket.failed(failure),
             }
@@ -481,7 +481,7 @@
         })?;
         drop(batch);
         claims.clear();
-        let claim = self.account.claim(whole.len()).ok_or(Failure::Body(BodyError::NoRoom))?;
+        let claim = self.account.claim(whole.len()).ok_or(Failure::Failed)?;
         Ok(json_response(AnswerBody::other(Held::new(whole, claim))))
     }
 
--- a/router/tests/batches.rs
+++ b/router/tests/batches.rs
@@ -95,6 +95,13 @@
         }
         let (status, _, answer) = post(&safe, RERANK, &[], &body(json!({"spoils": "nan"}))).await;
         assert_eq!((status, &answer["error"]["type"]), (502, &json!("server_error")));
+        // A slice that is refused after others have run makes no refusal of the batch: trying it again is not harmless.
+        let mut fixed = UNSAFE.to_vec();
+        fixed.extend(FIXED);
+        let slices = bed(&[&worker], &fixed).await;
+        let refused = nine(json!({"does": "full", "on": 3}));
+        let (status, _, answer) = post(&slices, RERANK, &[("x-deadline-ms", "3000")], &refused).await;
+        assert_eq!((status, &answer["error"]["type"]), (502, &json!("server_error")));
         // Breaks and failures of an unsafe class are final too.
         for does in ["break", "error"] {
             worker.seen.borrow_mut().clear();
