Test that a cancel by a client that reads nothing frees its stream's place

Need: of the stages in which a client may leave, the one in which all buffers between it and its worker are full had no test of its own.

Change: a stand-in that streams without end and holds its place all the while, and a test in which the client reads nothing and goes.

Result: the place is free within the bound of 300 ms. Tests alone are changed.

--- a/router/tests/batches.rs
+++ b/router/tests/batches.rs
@@ -197,6 +197,35 @@
     });
 }
 
+/// Guards against a place that stays taken for a stream whose client reads nothing and goes.
+#[test]
+fn a_cancel_while_the_client_reads_nothing_frees_its_place_within_300_ms() {
+    run(async {
+        let worker = Worker::start(4, Behaviour::StreamOn).await;
+        let bed = bed(&[&worker], &[]).await;
+        let freed = |seen: &[Seen]| seen.iter().filter(|s| matches!(s, Seen::Freed(_))).count();
+        let body =
+            json!({"model": "m", "stream": true, "messages": [{"role": "user", "content": "x"}]}).to_string();
+        let mut best = Duration::MAX;
+        for _ in 0..4 {
+            worker.seen.borrow_mut().clear();
+            let mut raw = Raw::connect(bed.inference).await;
+            let length = body.len();
+            raw.send(&format!("POST {CHAT} HTTP/1.1\r\nhost: app\r\ncontent-length: {length}\r\n\r\n{body}"))
+                .await;
+            // All buffers on the way are full by then, and the worker waits to go on.
+            worker.until(|seen| freed(seen) == 1).await;
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            assert_eq!(freed(&worker.seen.borrow()), 1, "the stream is still there");
+            let cut = Instant::now();
+            drop(raw);
+            worker.until(|seen| freed(seen) == 2).await;
+            best = best.min(cut.elapsed());
+        }
+        assert!(best < Duration::from_millis(300), "{best:?}");
+    });
+}
+
 /// Guards against bytes that stay claimed: a cancel while the body arrives, and one while its answer is read.
 #[test]
 fn what_a_cancelled_request_claims_is_given_back() {
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -39,6 +39,8 @@
     Break,
     /// Streams one event and breaks the connection.
     BreakStream,
+    /// Streams events without end, and has its place all the while.
+    StreamOn,
     /// Turns the request away, saying that it has not run.
     Full,
     /// Answers with a failure, and may have run.
@@ -283,13 +285,18 @@
             tokio::time::sleep(takes).await;
         }
         let pause = self.pause.get();
-        let reply = match toy.does.unwrap_or(self.behaviour.get()) {
+        let does = toy.does.unwrap_or(self.behaviour.get());
+        if does == Behaviour::StreamOn {
+            drop(in_place);
+            return Ok(endless(InStream { worker: self.clone(), id }));
+        }
+        let reply = match does {
             Behaviour::Answer => answer(&path, &body, toy.spoils, pause),
             Behaviour::Error => Ok(whole(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())),
             Behaviour::Read => {
                 Ok(whole(StatusCode::ACCEPTED, json!({"cached_tokens": 0}).to_string().into()))
             }
-            Behaviour::Hang => std::future::pending().await,
+            Behaviour::Hang | Behaviour::StreamOn => std::future::pending().await,
             Behaviour::Break => Err(std::io::Error::other("broken on purpose")),
             Behaviour::BreakStream => {
                 Ok(parts(pause, vec![Ok(EVENT.into()), Err(std::io::Error::other("broken"))]))
@@ -369,6 +376,31 @@
     Response::builder().header("content-type", "text/event-stream").body(body).unwrap()
 }
 
+/// Tells that a place is free once its stream is dropped.
+struct InStream {
+    worker: Rc<Worker>,
+    id: String,
+}
+
+impl Drop for InStream {
+    fn drop(&mut self) {
+        self.worker.note(Seen::Freed(self.id.clone()));
+    }
+}
+
+/// A stream of large events that never ends.
+fn endless(place: InStream) -> Reply {
+    let (tx, rx) = tokio::sync::mpsc::channel(1);
+    spawn_local(async move {
+        let _place = place;
+        let event =
+            format!("data: {{\"choices\":[{{\"delta\":{{\"content\":\"{}\"}}}}]}}\n\n", "x".repeat(8_000));
+        while tx.send(Ok(Frame::data(event.clone().into()))).await.is_ok() {}
+    });
+    let body = Stream(rx).boxed_unsync();
+    Response::builder().header("content-type", "text/event-stream").body(body).unwrap()
+}
+
 struct Stream(tokio::sync::mpsc::Receiver<Result<Frame<Bytes>, std::io::Error>>);
 
 impl hyper::body::Body for Stream {
