Measure cancels against slices that hang, and count a place that stays as late

Cause: found on rereading. A cancelled request whose place was never freed counted as 0 ms, and workers were quick enough to free a place by finishing.

Change: half of the cancelled batches hang in their third slice, so that nothing but the cancel frees their place; one that is still taken after 600 ms counts as that.

--- a/measure/src/front.rs
+++ b/measure/src/front.rs
@@ -75,6 +75,12 @@
     json!({"model": "m", "query": "gasket", "documents": documents, "top_n": 5})
 }
 
+fn hanging(candidates: usize) -> Value {
+    let mut body = rerank(candidates);
+    body["toy"] = json!({"does": "hang", "on": 2});
+    body
+}
+
 fn histogram() -> Rc<RefCell<Histogram<u64>>> {
     Rc::new(RefCell::new(Histogram::new(3).expect("3 digits are a precision")))
 }
@@ -211,11 +217,17 @@
 async fn cancels(rig: &Rig, random: &mut Pcg64) -> (f64, f64) {
     rig.times(Duration::from_millis(10), Duration::from_millis(1));
     let freed: Rc<RefCell<HashMap<String, Instant>>> = Rc::default();
+    let open: Rc<RefCell<HashMap<String, i64>>> = Rc::default();
     for worker in &rig.workers {
-        let freed = freed.clone();
+        let (freed, began) = (freed.clone(), open.clone());
+        *worker.on_began.borrow_mut() = Some(Box::new(move |id, _| {
+            *began.borrow_mut().entry(id.to_owned()).or_default() += 1;
+        }));
+        let open = open.clone();
         *worker.on_freed.borrow_mut() = Some(Box::new(move |id| {
             let base = id.split('.').next().unwrap_or(id).to_owned();
             freed.borrow_mut().insert(base, Instant::now());
+            open.borrow_mut().remove(id);
         }));
     }
     let times = histogram();
@@ -227,7 +239,8 @@
             let (path, body) = match n % 4 {
                 0 => (CHAT, chat()),
                 1 => (RERANK, rerank(20)),
-                _ => (RERANK, rerank(400)),
+                // These hang in their third slice: nothing but the cancel frees their places.
+                _ => (RERANK, hanging(400)),
             };
             // Some are still sending, some wait, some are served.
             let until = Duration::from_micros(random.random_range(0..80_000));
@@ -245,9 +258,13 @@
             sleep(Duration::from_millis(1)).await;
             freed.borrow_mut().entry(id.clone()).or_insert(cut);
             let times = times.clone();
-            let freed = freed.clone();
+            let (freed, open) = (freed.clone(), open.clone());
             spawn_local(async move {
                 sleep(Duration::from_millis(600)).await;
+                let stuck = open.borrow().keys().any(|k| k.split('.').next() == Some(&id));
+                if stuck {
+                    freed.borrow_mut().insert(id.clone(), Instant::now());
+                }
                 let at = freed.borrow().get(&id).copied().unwrap_or(cut);
                 let _ = times.borrow_mut().record(at.saturating_duration_since(cut).as_micros() as u64);
             });
@@ -255,7 +272,10 @@
         sleep(Duration::from_millis(40)).await;
     }
     sleep(Duration::from_millis(700)).await;
-    rig.workers.iter().for_each(|w| *w.on_freed.borrow_mut() = None);
+    rig.workers.iter().for_each(|w| {
+        *w.on_began.borrow_mut() = None;
+        *w.on_freed.borrow_mut() = None;
+    });
     let counted = times.borrow().len() as f64;
     (ms(&times, 0.99), counted)
 }
