--- a/measure/src/front.rs
+++ b/measure/src/front.rs
@@ -130,7 +130,7 @@
 async fn beside_reranks(rig: &Rig) -> (f64, usize) {
     rig.times(Duration::from_millis(10), Duration::from_millis(4));
     let to = rig.router.front;
-    let alone = chats(to, Duration::from_secs(4)).await;
+    let alone = chats(to, Duration::from_secs(8)).await;
     let served = Rc::new(RefCell::new(0));
     let reranks: Vec<_> = (0..3)
         .map(|n| {
@@ -146,7 +146,7 @@
         })
         .collect();
     sleep(Duration::from_millis(300)).await;
-    let beside = chats(to, Duration::from_secs(4)).await;
+    let beside = chats(to, Duration::from_secs(8)).await;
     reranks.iter().for_each(tokio::task::JoinHandle::abort);
     sleep(Duration::from_millis(200)).await;
     let served = *served.borrow();
