--- a/src/policy.rs
+++ b/src/policy.rs
@@ -88,7 +88,7 @@
     probed_at: Micros,
     refused_at: Micros,
     answered: Micros, // when the latest of ours that it has answered was sent
-    mute: Micros,     // since when it has answered no probe, nor anything else
+    mute: Micros,     // since when a probe of it, or more, has had no answer, nor anything else
 }
 
 /// Admission, learnt from how long answers take: else a short excess becomes a queue in which all is late.
@@ -205,10 +205,6 @@
             Event::Probed { host, outcome, load, .. } => {
                 self.hear(host, load);
                 self.judge(host, None, outcome);
-                let good = outcome == Outcome::Good;
-                self.hosts
-                    .entry(host)
-                    .and_modify(|h| h.mute = if good { Micros::MAX } else { h.mute.min(now) });
                 let done = |r: &mut Request| r.look = r.look.filter(|(reader, _)| *reader != host);
                 self.requests.values_mut().for_each(done);
                 self.advance_waiting();
@@ -223,7 +219,7 @@
         let (fleet, ask) = (self.fleet(), Ask { class: ANY_CLASS, ..Ask::default() });
         let of = |(id, host): (&HostId, &Host)| {
             let stage = self.stage(host);
-            let reads = Some(self.reader_half(&ask, *id, None, 0)).filter(|_| stage != Stage::Write);
+            let reads = Some(self.reader_half(&ask, *id, None, 0, &fleet)).filter(|_| stage != Stage::Write);
             let writes = Some(self.writer_half(*id, &fleet, 0)).filter(|_| stage != Stage::Read);
             let sum = |part: fn(&Half) -> f64| reads.iter().chain(&writes).map(part).sum::<f64>();
             let most = reads.map_or(0.0, |_| WEIGHTS[2]) + writes.map_or(0.0, |_| WEIGHTS[1] + WEIGHTS[3]);
@@ -259,7 +255,7 @@
             (host.member, host.listed) = (member, member.readiness == Readiness::Up);
             if started != Some(member.last_start) {
                 (host.kept, host.load, host.fails) = Default::default();
-                let span = self.cold_span(self.stage(&self.hosts[&member.host]), ANY_CLASS) as f64;
+                let span = self.cold_span(&self.hosts[&member.host], ANY_CLASS) as f64;
                 let turn = self.now + (span * uniform(self.rng.next_u64())) as Micros;
                 self.hosts.entry(member.host).and_modify(|h| h.cold_turn = turn);
             }
@@ -429,7 +425,7 @@
         let Some(host) = self.hosts.get_mut(&id).filter(|_| may && self.pace.probes >= 1.0) else {
             return false;
         };
-        host.probed_at = self.now;
+        (host.probed_at, host.mute) = (self.now, host.mute.min(self.now));
         self.pace.probes -= 1.0;
         self.out.push(Action::Touch(id));
         true
@@ -509,8 +505,8 @@
         let may = |r: &&Request| self.open(to) && self.may_repeat(r, (stage != Stage::Read).then_some(to));
         let Some(ask) = self.requests.get(&id).filter(may).map(|r| r.ask) else { return false };
         let weight = if stage == Stage::Write { 0.0 } else { self.read_weight(&ask, to) };
-        let cold = self.hosts.get(&to).filter(|h| self.is_cold(h));
-        let turn = cold.map_or(Micros::MIN, |h| self.now + self.cold_span(self.stage(h), ask.class));
+        let cold = self.hosts.get(&to).filter(|h| self.warmth(h) < 1.0);
+        let turn = cold.map_or(Micros::MIN, |h| self.now + self.cold_span(h, ask.class));
         let Some(host) = self.hosts.get_mut(&to) else { return false };
         host.cold_turn = turn;
         host.held[0] += weight;
@@ -543,7 +539,7 @@
     }
 
     fn open(&self, id: HostId) -> bool {
-        self.hosts.get(&id).is_some_and(|h| h.listed && (!self.is_cold(h) || self.now >= h.cold_turn))
+        self.hosts.get(&id).is_some_and(|h| h.listed && (self.warmth(h) >= 1.0 || self.now >= h.cold_turn))
     }
 
     /// Whether it is open, of a kind that the request may go to, and not set aside for failures.
@@ -635,20 +631,26 @@
         }
     }
 
-    fn is_cold(&self, host: &Host) -> bool {
-        let warm_up = self.settings.warm_up.unwrap_or(WARM_UP);
-        host.member.last_start.is_some_and(|at| at > 0 && self.now < at + warm_up)
+    /// The part of its capacity that a server has at least, as the rules tell it.
+    fn warmth(&self, host: &Host) -> f64 {
+        let warm_up = self.settings.warm_up.unwrap_or(WARM_UP).max(1) as f64;
+        let start = self.settings.start_capacity.unwrap_or(START_CAPACITY).clamp(0.01, 1.0);
+        let part = |at: Micros| (self.now - at).max(0) as f64 / warm_up;
+        let started = host.member.last_start.filter(|at| *at > 0);
+        started.map_or(1.0, |at| start + (1.0 - start) * part(at)).min(1.0)
     }
 
     /// The span between our sends to a cold server, the first drawn. Guards against many pushing it over.
-    fn cold_span(&self, stage: Stage, class: ClassId) -> Micros {
-        let warm =
-            self.hosts.values().filter(|h| h.listed && self.stage(h) == stage && !self.is_cold(h)).count();
+    fn cold_span(&self, host: &Host, class: ClassId) -> Micros {
+        let (stage, multiple) = (self.stage(host), self.settings.fall_multiple.unwrap_or(FALL_MULTIPLE));
+        let warm = self
+            .hosts
+            .values()
+            .filter(|h| h.listed && self.stage(h) == stage && self.warmth(h) >= 1.0)
+            .count();
         let (carried, at) = self.carried[stage as usize];
         let carried = carried * (-((self.now - at) as f64) / CARRIED_FOR).exp() / warm.max(1) as f64;
-        let multiple = self.settings.fall_multiple.unwrap_or(FALL_MULTIPLE);
-        let start = self.settings.start_capacity.unwrap_or(START_CAPACITY);
-        let rate = multiple * start * COLD_SHARE * carried / CARRIED_FOR;
+        let rate = multiple * self.warmth(host) * COLD_SHARE * carried / CARRIED_FOR;
         let most = self.settings.fall_window.unwrap_or(FALL_WINDOW) as f64 * self.balancers();
         (self.class_work(stage, class, 1.0) / rate).min(most) as Micros
     }
@@ -747,7 +749,7 @@
             *mean += (work - *mean) * WORK_STEP;
         }
         let work = self.class_work(stage, ask.class, work);
-        if self.hosts.get(&sent.host).is_some_and(|h| !self.is_cold(h)) {
+        if self.hosts.get(&sent.host).is_some_and(|h| self.warmth(h) >= 1.0) {
             let (carried, at) = self.carried[stage as usize];
             let kept = (-((self.now - at) as f64) / CARRIED_FOR).exp();
             self.carried[stage as usize] = (carried * kept + work, self.now);
@@ -772,6 +774,7 @@
         let (key, least) = match outcome {
             // One success is no recovery: a server that errs at once looks idle and draws all that waits.
             Outcome::Good | Outcome::HalfDone => {
+                host.mute = Micros::MAX;
                 host.fails.remove(&None);
                 host.fails.entry(class).and_modify(|(fails, _)| *fails /= 2);
                 return;
@@ -833,7 +836,7 @@
                 stage != Stage::Both && uniform(salt ^ !id.0) >= fleet.paired(&host.member, stage as usize);
             let group = if unpaired { (1, host.member.zone.0 as i64) } else { (0, host.member.cell.0) };
             if stage != Stage::Write {
-                readers.push(Half { group, ..self.reader_half(&ask, *id, home, dice) });
+                readers.push(Half { group, ..self.reader_half(&ask, *id, home, dice, fleet) });
             }
             if stage != Stage::Read {
                 writers.push(Half { group, ..self.writer_half(*id, fleet, dice) });
@@ -842,7 +845,8 @@
         // No reader is left: writers that read for themselves take requests whole.
         if readers.is_empty() && self.settings.writers_read {
             writers.iter_mut().for_each(|w| w.whole = true);
-            let whole = |w: &Half| Half { whole: true, ..self.reader_half(&ask, w.host, home, w.dice) };
+            let whole =
+                |w: &Half| Half { whole: true, ..self.reader_half(&ask, w.host, home, w.dice, fleet) };
             readers = writers.iter().map(whole).collect();
         }
         (readers, writers)
@@ -857,7 +861,8 @@
             return Some(place);
         }
         let fleet = self.fleet();
-        let half = Half { load: 0.0, fresh: true, whole: false, ..self.reader_half(&ask, reader, None, 0) };
+        let half = self.reader_half(&ask, reader, None, 0, &fleet);
+        let half = Half { load: 0.0, fresh: true, whole: false, ..half };
         let hosts = self.hosts.iter().filter(|(_, h)| self.stage(h) != Stage::Read).map(|(id, _)| *id);
         let of = |id| Half { whole: false, ..self.writer_half(id, &fleet, mix(salt ^ id.0) as u32) };
         let writers: Vec<_> = hosts.filter(|id| self.takes(*id, &ask)).map(of).collect();
@@ -870,40 +875,44 @@
         READ_BASE + (1.0 - READ_BASE) * uncached / self.class_work(Stage::Read, ANY_CLASS, uncached).max(1.0)
     }
 
-    /// The reader's part of S, 0.4 C + 0.3 (1-Q), and of the bound, 2 Q; Q from our reads or its report.
-    fn reader_half(&self, ask: &Ask, id: HostId, home: Option<HostId>, dice: u32) -> Half {
+    /// The reader's part of S, 0.4 C + 0.3 (1-Q), and of the bound, 2 Q: what the mean says sets none aside.
+    fn reader_half(&self, ask: &Ask, id: HostId, home: Option<HostId>, dice: u32, fleet: &Fleet) -> Half {
         let host = &self.hosts[&id];
-        let pending =
-            host.load.and_then(|(_, l)| l.pending_k).filter(|p| p.is_finite()).unwrap_or(0.0).max(0.0);
-        let told = pending * 1000.0 / self.class_work(Stage::Read, ANY_CLASS, 1000.0) / QUEUE_ALL
-            * (1.0 - self.age(host));
-        let queue = (host.held[0] / QUEUE_MAX).max(told);
+        let (ours, mean) = (host.held[0] / QUEUE_MAX, fleet.means[2][self.stage(host) as usize]);
+        let [queue, bound] = [mean, Some(0.0)].map(|mean| self.told(host, 2, mean).unwrap_or(0.0).max(ours));
         let worth = WEIGHTS[0] * self.kept(ask, id, home) + WEIGHTS[2] * (1.0 - queue.min(1.0));
-        self.half(id, host, worth, 2.0 * queue, host.held[0] * 1e6, dice)
+        self.half(id, host, worth, 2.0 * bound, host.held[0] * 1e6, dice)
     }
 
     /// The writer's part, 0.1 (1-M) + 0.2 (1-L) and M/100: reported shares, else our streams over our most.
-    fn writer_half(&self, id: HostId, means: &Fleet, dice: u32) -> Half {
+    fn writer_half(&self, id: HostId, fleet: &Fleet, dice: u32) -> Half {
         let host = &self.hosts[&id];
-        let ours = host.held[1] / means.most_streams;
-        let stage = self.stage(host) as usize;
-        // An old figure says little of one server: with age it fades to the mean.
-        let [memory, live] = [0, 1].map(|i| match (host.figures()[i], means.means[i][stage]) {
-            (Some(own), Some(mean)) => own + (mean - own) * self.age(host),
-            (_, mean) => mean.unwrap_or(ours),
-        });
+        let ours = host.held[1] / fleet.most_streams;
+        let told = |of: usize| self.told(host, of, fleet.means[of][self.stage(host) as usize]);
+        let [memory, live] = [0, 1].map(|of| told(of).unwrap_or(ours));
         let worth = WEIGHTS[1] * (1.0 - memory) + WEIGHTS[3] * (1.0 - live);
         let full = if self.now < host.refused_at + REFUSED_FOR { 1.0 } else { 0.0 };
         self.half(id, host, worth, memory / 100.0 + full, host.held[1], dice)
     }
 
-    fn age(&self, host: &Host) -> f64 {
-        host.load.map_or(1.0, |(at, _)| ((self.now - at) as f64 / STALE_AFTER).min(1.0))
+    /// A reported figure. With age it says little of one server and fades to the mean.
+    fn told(&self, host: &Host, of: usize, mean: Option<f64>) -> Option<f64> {
+        let fade = host.load.map_or(1.0, |(at, _)| ((self.now - at) as f64 / STALE_AFTER).min(1.0));
+        self.figures(host)[of].zip(mean).map(|(own, mean)| own + (mean - own) * fade).or(mean)
+    }
+
+    /// The shares of its memory, of its slots and of a full queue that a server reports.
+    fn figures(&self, host: &Host) -> [Option<f64>; 3] {
+        let full = self.class_work(Stage::Read, ANY_CLASS, 1000.0) / 1000.0 * QUEUE_ALL;
+        let sane = |v: Option<f64>, most| v.filter(|v| v.is_finite()).map(|v| v.clamp(0.0, most));
+        let queue = |l: Load| sane(l.pending_k, f64::MAX).map(|p| p / full);
+        host.load.map_or([None; 3], |(_, l)| [sane(l.memory, 1.0), sane(l.util, 1.0), queue(l)])
     }
 
     fn half(&self, id: HostId, host: &Host, worth: f64, load: f64, count: f64, dice: u32) -> Half {
         let stale_after = STALE_AFTER.max(STALE_SPANS * self.pace.ask_span * self.hosts.len() as f64);
-        let fresh = host.load.is_none_or(|(at, _)| ((self.now - at) as f64) < stale_after);
+        let fresh = self.now - LOOK_FOR < host.mute
+            && host.load.is_none_or(|(at, _)| ((self.now - at) as f64) < stale_after);
         let (cell, whole) = (host.member.cell.0, self.stage(host) == Stage::Both);
         Half { host: id, whole, group: (0, cell), cell, worth, load, fewest: -count, fresh, dice }
     }
@@ -911,14 +920,14 @@
     /// The fleet at large, for one decision. The means stand in for figures that a server has not reported.
     fn fleet(&self) -> Fleet {
         let mut fleet = Fleet { most_streams: 1.0, ..Fleet::default() };
-        let mut sums = [[(0.0, 0.0); 3]; 2];
-        for host in self.hosts.values() {
+        let mut sums = [[(0.0, 0.0); 3]; 3];
+        for (id, host) in &self.hosts {
             fleet.most_streams = fleet.most_streams.max(host.held[1]);
             let (stage, member) = (self.stage(host) as usize, &host.member);
-            for (sum, figure) in sums.iter_mut().zip(host.figures()).filter(|_| host.listed) {
+            for (sum, figure) in sums.iter_mut().zip(self.figures(host)).filter(|_| host.listed) {
                 sum[stage] = figure.map_or(sum[stage], |value| (sum[stage].0 + value, sum[stage].1 + 1.0));
             }
-            if host.listed && stage < 2 {
+            if stage < 2 && self.open(*id) {
                 for group in [(0, member.cell.0), (1, member.zone.0 as i64), (2, 0)] {
                     fleet.groups.entry(group).or_default()[stage] += 1.0;
                 }
@@ -949,22 +958,22 @@
             let whole = self.stage(h) != Stage::Read;
             let weight =
                 if whole { HOME_WHOLE } else { writers / readers } * (1.0 - late[usize::from(whole)]);
-            let drawn = uniform(session.0 ^ mix(id.0)).ln() / weight;
+            let drawn = uniform(session.0 ^ mix(id.0)).ln() / (weight * self.warmth(h));
             ((away || self.settings.zone == Some(h.member.zone), drawn), *id)
         };
-        let listed = self.hosts.iter().filter(|(_, h)| h.listed && self.stage(h) != Stage::Write);
-        if listed.clone().any(|(_, h)| known(h)) {
+        let open = self.hosts.iter().filter(|(id, h)| self.open(**id) && self.stage(h) != Stage::Write);
+        if open.clone().any(|(_, h)| known(h)) {
             return None;
         }
-        listed.map(draw).max_by(|(a, _), (b, _)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(_, id)| id)
+        open.map(draw).max_by(|(a, _), (b, _)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(_, id)| id)
     }
 }
 
 #[derive(Default)]
 struct Fleet {
     most_streams: f64,
-    means: [[Option<f64>; 3]; 2], // mean memory and slot shares that servers of each stage report
-    /// Listed readers and writers of each cell (0, cell) and zone (1, zone), and all (2, 0).
+    means: [[Option<f64>; 3]; 3], // mean memory, slot and queue shares that servers of each stage report
+    /// Open readers and writers of each cell (0, cell) and zone (1, zone), and all (2, 0).
     groups: BTreeMap<(u8, i64), [f64; 2]>,
 }
 
@@ -1081,9 +1090,4 @@
     fn answer(&mut self, sent: Micros) {
         (self.answered, self.mute) = (self.answered.max(sent), Micros::MAX);
     }
-
-    fn figures(&self) -> [Option<f64>; 2] {
-        let sane = |v: Option<f64>| v.filter(|v| v.is_finite()).map(|v| v.clamp(0.0, 1.0));
-        self.load.map_or([None; 2], |(_, load)| [sane(load.memory), sane(load.util)])
-    }
 }
