Ask discovery a router's part of the fleet's calls: backoff, jitter, one call a start

Routers that had restarted never saw a list newer than their own old one, nor did the others see any change after the first second.

Counted across the fleet, from debug lines for each call: 1,900 watches a second, all answered 503, from 0.02 s to the end; after the restart 570 watches and 1,300 whole lists a second. Calls began to succeed only when all routers together made fewer than about 8 a second, and then stayed so, at any rate of news. So a failed call costs the service about what another does, and 100 routers that come back after 50 ms keep it in that state for good.

Ruled out by probes: a service that is down (first watches spread over 5 to 25 s all succeeded); too short a hold (20 s changed nothing); slower tries alone (100 ms to 4 s: 40 calls a second, hardly any served).

At fault: router/src/discovery.rs: AGAIN, a fixed 50 ms without backoff or jitter; ANSWER, 500 ms for a call that may wait in turn; `follow`, which had the whole list made at a start and then a watch, two calls for one.

Change: `Pace`: after a failure the span until the next try is drawn from 0 to 0.2 s times the number of routers, 0.4 s after another, so that all together make about 10 and 5 calls a second, whatever their number; a watch holds 0.1 s times their number (2 to 20 s); an answer is waited for 4 s. At a start the router asks for what has changed since the list that it was given, with no hold, and goes on from there: one call, and none for each line that has not changed. router/src/backoff.rs holds the drawing.

--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -5,6 +5,7 @@
 //! module and has the [`upstream`] make attempts, whose ends it is told. [`discovery`] and [`peers`] feed it
 //! news. [`run`] puts the parts together.
 
+mod backoff;
 pub mod config;
 pub mod control;
 pub mod core;
@@ -182,7 +183,10 @@
         }
         let (fresh_tx, fresh) = watch::channel(false);
         let late = fresh_tx.clone();
-        spawn_local(discovery::watch(discovery, config.facts.clone(), handle.clone(), fresh_tx));
+        let pace = discovery::Pace::new(settings.balancers, config.seed);
+        let known = config.known.as_ref().map(|list| list.index);
+        let (facts, told) = (config.facts.clone(), handle.clone());
+        spawn_local(discovery::watch(discovery, known, facts, told, fresh_tx, pace));
         spawn_local(async move {
             tokio::time::sleep(FRESH_WAIT).await;
             late.send_replace(true);
--- /dev/null
+++ b/router/tests/discovery.rs
@@ -0,0 +1,52 @@
+//! How discovery is called, over sockets.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{line, run, settings, Behaviour, Client, Discovery, Worker};
+use cranetack_router::config::Config;
+use cranetack_router::{Extras, Router};
+use serde_json::{json, Value};
+use tokio::task::spawn_local;
+
+fn config(discovery: &Discovery, routers: u32, known: &Value) -> Config {
+    let mut settings = settings();
+    settings["balancers"] = json!(routers);
+    let file = json!({"name": "r0", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
+        "seed": "7", "limits": {"sockets": 64}, "settings": settings, "known": known});
+    Config::parse(file.to_string().as_bytes()).unwrap()
+}
+
+/// Guards against a restarted router that has the whole list made for it, and then a watch, where all that it lacks
+/// is what has changed: at a busy service each is a call.
+#[test]
+fn a_restarted_router_asks_for_what_has_changed_since_its_last_list() {
+    run(async {
+        let worker = Worker::start(4, Behaviour::Answer).await;
+        let discovery = Discovery::start(vec![line(&worker, "mixed", "up")]).await;
+        let known = json!({"index": 1, "snapshot": true, "endpoints": [line(&worker, "mixed", "up")]});
+        let router = Router::bind(config(&discovery, 100, &known), Extras::default()).await.unwrap();
+        let address = router.address().unwrap();
+        spawn_local(router.serve(std::future::pending()));
+        let mut client = Client::connect(address).await;
+        while client.get("/up").await.0 != 200 {}
+        assert_eq!(client.ask("r0", "chat", 5_000).await.0, 200);
+        let calls = discovery.calls.borrow();
+        assert_eq!(calls[0], "from=1&hold_ms=0");
+        assert!(calls[1..].iter().all(|call| call == "from=1&hold_ms=10000"), "{calls:?}");
+    });
+}
+
+/// Guards against a refused call that is made again 20 times a second by each of a hundred routers.
+#[test]
+fn one_of_many_routers_that_is_refused_does_not_ask_again_soon() {
+    run(async {
+        let discovery = Discovery::start(vec![]).await;
+        discovery.busy.set(true);
+        let router = Router::bind(config(&discovery, 100, &Value::Null), Extras::default()).await.unwrap();
+        spawn_local(router.serve(std::future::pending()));
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        assert_eq!(discovery.calls.borrow().len(), 1);
+    });
+}
--- a/standins/src/discovery.rs
+++ b/standins/src/discovery.rs
@@ -22,6 +22,10 @@
     pub address: SocketAddr,
     /// Watches are not answered any more.
     pub silent: Cell<bool>,
+    /// All calls are refused.
+    pub busy: Cell<bool>,
+    /// The queries of all calls, in order.
+    pub calls: RefCell<Vec<String>>,
     list: watch::Sender<(u64, Vec<Value>)>,
     whole_asked: Notify,
     connections: RefCell<Vec<AbortHandle>>,
@@ -49,6 +53,8 @@
         let discovery = Rc::new(Discovery {
             address: listener.local_addr().unwrap(),
             silent: Cell::default(),
+            busy: Cell::default(),
+            calls: RefCell::default(),
             list,
             whole_asked: Notify::new(),
             connections: RefCell::default(),
@@ -70,6 +76,10 @@
     }
 
     async fn serve(self: Rc<Self>, request: Request<Incoming>) -> Result<Reply, Infallible> {
+        self.calls.borrow_mut().push(request.uri().query().unwrap_or_default().to_owned());
+        if self.busy.get() {
+            return Ok(whole(StatusCode::SERVICE_UNAVAILABLE, bytes::Bytes::new()));
+        }
         let from =
             request.uri().query().and_then(|q| q.strip_prefix("from=")?.split('&').next()?.parse().ok());
         if let Some(from) = from {
