Give long batches of a test all the time they need: on a busy machine they were refused

Seen: a_short_batch_is_served_while_long_ones_run failed in 5 of 6 plays on this machine (assertion that no long batch is finished). Ruled out: a change of the program, as it fails on the commit before too, and turns, as the short batch got its answer. At fault: six batches of 200 slices of 3 ms each at one place need 3.6 s at best, and the file gives rerank 10 s; where the machine is slower their own pace says that they cannot end in time, so they are refused at once, which is finished. Now the test's file gives rerank 600 s. Measured: 5 of 5 plays pass.

--- a/router/tests/batches.rs
+++ b/router/tests/batches.rs
@@ -490,7 +490,9 @@
     run(async {
         let worker = Worker::start(1, Behaviour::Answer).await;
         worker.takes.set(Duration::from_millis(3));
-        let bed = bed(&[&worker], &FIXED).await;
+        // All the time they need: on a busy machine they would be refused by their pace, and so be finished.
+        let edits = [FIXED[0], ("deadline_ms = 10000", "deadline_ms = 600000")];
+        let bed = bed(&[&worker], &edits).await;
         let address = bed.inference;
         let long: Vec<_> = (0..6)
             .map(|_| {
