Tell three others twice that a router leaves, in place of all at every tick

Counted: a router leaves for 2.3 s (n5.log: '6.629 leaving', '8.940 all that was taken has been answered'), that is 46 ticks, and told all 299 others at each: 300 x 46 x 299 = 4.1 million messages for 3,548 requests.

Ruled out: other messages (the module sends none), and receivers that answer (they don't).

At fault: src/policy.rs, on_leaving, Publish { to: None } at every tick: harmless with 3 routers, the square of their number with 300.

Change: a router tells three others, found from its number, twice; each is told by as many, and moves no streams while all of those are away. With four routers or fewer that is all of them, as before.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -61,7 +61,9 @@
 const START_CAPACITY: f64 = 0.15;
 const WARM_UP: Micros = 20_000_000;
 const PEER_LEAVES: u8 = 1; // what a dispatcher tells the others while it leaves ...
-const AWAY_FOR: Micros = 5_500_000; // ... and from its first word until others send clients there again (us)
+const AWAY_FOR: Micros = 5_500_000; // ... from its first word until clients are sent there again (us) ...
+const LEAVES_TOLD: u32 = 3; // ... how many others it tells: a fleet's words must not grow with its square ...
+const LEAVE_WORDS: u32 = 2; // ... and how often, as any message may be lost
 const MOVED_AT_ONCE: usize = 4; // streams moved at a look: each is read anew elsewhere
 const PASSED_BY: Micros = 250_000; // an attempt is lost if one sent so much later is answered (us) ...
 const MUTE_FOR: Micros = 1_500_000; // ... or if its server answers neither probes nor us for so long (us)
@@ -155,8 +157,8 @@
     /// Limits on all our reads and streams, and their late share. Guards against many dispatchers' one each.
     pools: [(Limit, f64); 2],
     pace: Pace,
-    leaving: Option<(Micros, Micros)>, // streams may be moved from then on, and all is answered by then
-    away: BTreeMap<u32, Micros>,       // dispatchers that leave, and until when they are away
+    leaving: Option<(Micros, Micros, u32)>, // when streams may move, when all is answered, words to say
+    away: BTreeMap<u32, Micros>,            // dispatchers that leave, and until when they are away
 }
 
 impl Policy {
@@ -198,7 +200,7 @@
             Event::Earmarked { .. } => {}
             Event::Peer { from, bytes } => self.on_peer(from, &bytes),
             Event::ClientGone(id) => self.leave(id),
-            Event::Leaving { from, by } => self.leaving = Some((from, by)),
+            Event::Leaving { from, by } => self.leaving = Some((from, by, LEAVE_WORDS)),
             Event::Timer(KEY_TICK) => self.on_tick(),
             Event::Timer(KEY_SUBSCRIBE) => self.subscribe(),
             Event::Timer(key) => self.on_timer(key),
@@ -314,11 +316,9 @@
         let Some(sent) = sent else { return };
         sent.established = true;
         let sent = *sent;
-        self.pace.lead += ((self.now - request.first_sent.unwrap_or(self.now)) as f64 * LEAD_SAFETY
-            - self.pace.lead)
-            * WORK_STEP;
-        request.state = None;
-        request.holds = false;
+        let lead = (self.now - request.first_sent.unwrap_or(self.now)) as f64 * LEAD_SAFETY;
+        self.pace.lead += (lead - self.pace.lead) * WORK_STEP;
+        (request.state, request.holds) = (None, false);
         if let Some(h) = self.hosts.get_mut(&host).filter(|_| sent.stage == Stage::Both) {
             h.held[0] = (h.held[0] - sent.weight).max(0.0);
         }
@@ -379,9 +379,7 @@
     fn on_refused(&mut self, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let (place, out) = (request.place.take(), request.out);
-        if let Some(host) = place.and_then(|w| self.hosts.get_mut(&w)) {
-            host.refused_at = self.now;
-        }
+        place.and_then(|w| self.hosts.get_mut(&w)).into_iter().for_each(|w| w.refused_at = self.now);
         let more = out.filter(|o| o.stage == Stage::Read && !request.ended && request.places < PLACES_MOST);
         if let Some(writer) = more.and_then(|o| self.choose_writer(id, o.host)) {
             self.earmark(id, writer);
@@ -579,18 +577,22 @@
         self.end(id);
     }
 
-    /// While the host leaves, the others are told, and streams are moved, the newest first: old ones may end
-    /// by themselves. Guards against clients that come again where nobody takes them: none is moved while all
-    /// others are away. At the end all is, and what has no answer gets its final one.
+    /// While the host leaves, others are told, and streams are moved, the newest first: old ones may end by
+    /// themselves. Guards against clients that come again where nobody takes them: none is moved while all
+    /// that would tell us are away. At the end all is, and what has no answer gets its final one.
     fn on_leaving(&mut self) {
-        let Some((from, by)) = self.leaving else { return };
-        if self.settings.peers {
-            self.out.push(Action::Publish { to: None, bytes: vec![PEER_LEAVES] });
+        let Some((from, by, words)) = self.leaving else { return };
+        let others = self.settings.balancers.unwrap_or(0).saturating_sub(1);
+        let (told, me) = (others.min(LEAVES_TOLD), self.settings.me.unwrap_or(0));
+        if self.settings.peers && words > 0 {
+            self.leaving = Some((from, by, words - 1));
+            let to = |i| (u64::from(me) + 1 + u64::from(i * (others / told))) % (u64::from(others) + 1);
+            let tell = |i| Action::Publish { to: Some(to(i) as u32), bytes: vec![PEER_LEAVES] };
+            self.out.extend((0..told).map(tell));
         }
-        let others = self.settings.balancers.map_or(0, |b| b as usize).saturating_sub(1);
         let away = self.away.values().filter(|until| self.now < **until).count();
         let end = self.now >= by;
-        let may = self.settings.resume && (end || (self.now >= from && away < others));
+        let may = self.settings.resume && (end || (self.now >= from && away < told as usize));
         let mut left = if end { usize::MAX } else { MOVED_AT_ONCE * usize::from(may) };
         let open = self.requests.iter().rev().filter(|(_, r)| !r.ended).map(|(id, r)| (*id, r.out));
         for (id, out) in open.collect::<Vec<_>>() {
@@ -643,11 +645,8 @@
     /// The span between our sends to a cold server, the first drawn. Guards against many pushing it over.
     fn cold_span(&self, host: &Host, class: ClassId) -> Micros {
         let (stage, multiple) = (self.stage(host), self.settings.fall_multiple.unwrap_or(FALL_MULTIPLE));
-        let warm = self
-            .hosts
-            .values()
-            .filter(|h| h.listed && self.stage(h) == stage && self.warmth(h) >= 1.0)
-            .count();
+        let is_warm = |h: &&Host| h.listed && self.stage(h) == stage && self.warmth(h) >= 1.0;
+        let warm = self.hosts.values().filter(is_warm).count();
         let (carried, at) = self.carried[stage as usize];
         let carried = carried * (-((self.now - at) as f64) / CARRIED_FOR).exp() / warm.max(1) as f64;
         let rate = multiple * self.warmth(host) * COLD_SHARE * carried / CARRIED_FOR;
