Let held state wait no longer for connections that do not come up

The writers were in zones cut off from this router: the read state waited at its reader for 1.0 s. By PROTOCOL the time runs on while connections do not come up, and 300 ms + 300 ms is allowed.

Ruled out: a lost DELETE (no 'nobody could be told to let go' in any log), a place that crossed the end (Held, and given up by the later sends).

At fault: src/policy.rs, on_result, which let the time of a state begin anew after each failure, also where nothing had reached a worker; router/src/upstream, where a connection had 250 ms whatever was held; router/src/core.rs, reachable, which asked the server last tried to let go, then the others by turns, 120 ms each: in a cut zone all of these may be out of reach.

Change: a failed connection leaves the time running. Route says by when a connection must be up: half of what is left, so that further writers can be tried (90, 45, 22 ms); then the state is let go and the prompt read anew. Servers that answered last are asked first to let go.

Three tests, each seen to fail without its line.

--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -398,7 +398,7 @@
         let request = |id: &RequestId| self.requests.word(id.0);
         let host = |id: &HostId| self.hosts.get(&id.0).map_or("", String::as_str);
         match action {
-            Action::Route { id, host: h, expire } => json!(["route", request(id), host(h), expire]),
+            Action::Route { id, host: h, expire, .. } => json!(["route", request(id), host(h), expire]),
             Action::Earmark { id, host: h } => json!(["earmark", request(id), host(h)]),
             Action::FreeState(id) => json!(["free_state", request(id)]),
             Action::Abort { id, attempt } => json!(["abort_attempt", request(id), attempt]),
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -69,6 +69,8 @@
     pub name: String,
     address: Cell<SocketAddr>,
     open: Cell<bool>,
+    /// When it last answered us.
+    heard: Cell<Micros>,
 }
 
 impl Host {
@@ -79,6 +81,7 @@
             name: name.to_owned(),
             address: Cell::new(address),
             open: Cell::new(true),
+            heard: Cell::new(Micros::MIN),
         }
     }
 
@@ -253,6 +256,8 @@
     pub host: Rc<Host>,
     /// When to give it up, unless its answer has begun.
     pub expire: Instant,
+    /// When to give it up, unless it has a connection.
+    pub up_by: Instant,
     /// It must not run twice, so it had better not go over a connection that may break under it.
     pub delicate: bool,
     /// What to send.
@@ -287,8 +292,6 @@
     parting: Option<Answer>,
     attempts: u32,
     out: Option<Out>,
-    /// Where it was last sent.
-    last: Option<Rc<Host>>,
     /// The module has let go of what was held, and nothing has been sent since.
     released: bool,
     over: bool,
@@ -415,6 +418,9 @@
                 if let Some(host) = self.hosts.get(&host) {
                     tracing::debug!(to = host.name, ?outcome, ?spent, ?load, "a probe has ended");
                 }
+                if matches!(outcome, Outcome::Good | Outcome::Full) {
+                    self.heard(host);
+                }
                 self.decide(Event::Probed { host, outcome, spent: micros(spent), load });
             }
             Happening::Members(form, listed) => self.members(form, listed),
@@ -468,7 +474,6 @@
             parting: None,
             attempts: 0,
             out: None,
-            last: None,
             released: false,
             over: false,
         };
@@ -517,6 +522,9 @@
         }
         let no_more = self.requests.get(&id).is_none_or(|r| r.over);
         let Ended { outcome, info, load } = ended;
+        if matches!(outcome, Outcome::Good | Outcome::HalfDone | Outcome::Full | Outcome::Bad) {
+            self.heard(out.host);
+        }
         let (host, spent) = (out.host, self.clock.now() - out.sent);
         let number = attempt.number;
         if let (Some(request), Some(to)) = (self.requests.get(&id), self.hosts.get(&host)) {
@@ -532,8 +540,11 @@
         let request = self.requests.get(&id);
         let wanted = request.is_some_and(|r| !r.over && !r.released && !r.streaming());
         tracing::debug!(id = %name, ?place, wanted, "a place was answered for");
+        if place != Place::Unsure {
+            self.heard(host);
+        }
         if !wanted && place != Place::Refused {
-            let hosts = self.reachable(self.hosts.get(&host).cloned());
+            let hosts = self.reachable();
             self.outbound.release(id, name, hosts);
         } else if wanted && place != Place::Unsure && request.is_some_and(|r| r.out.is_some()) {
             self.decide(Event::Earmarked { id, host, held: place == Place::Held });
@@ -618,7 +629,7 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Route { id, host, expire } => self.route(id, host, expire),
+            Action::Route { id, host, expire, up_by } => self.route(id, host, expire, up_by),
             Action::Earmark { id, host } => self.earmark(id, host),
             Action::FreeState(id) => self.release(id),
             Action::Abort { id, attempt } => {
@@ -659,7 +670,7 @@
         self.outbound.withdraw(AttemptId { request: id, number }, false);
     }
 
-    fn route(&mut self, id: RequestId, host: HostId, expire: Micros) {
+    fn route(&mut self, id: RequestId, host: HostId, expire: Micros, up_by: Micros) {
         let now = self.clock.now();
         let Some(request) = self.requests.get_mut(&id) else { return };
         let number = request.attempts;
@@ -686,17 +697,18 @@
         };
         request.out = Some(Out { number, sent: now, host, streaming: false });
         tracing::debug!(id = %request.asked.name, number, to = target.name, "an attempt is made");
-        request.last = Some(target.clone());
         request.released = false;
         let effect = self.settings.classes.get(request.asked.class.0).map(|c| c.effect).unwrap_or_default();
         let kind = self.members.get(&host).and_then(|m| self.settings.kinds.get(m.kind.0));
         let reads = kind.is_some_and(|k| k.stage == Some(Stage::Read));
-        let expire = if expire == 0 { request.valid_until } else { expire.min(request.valid_until) };
+        let [expire, up_by] =
+            [expire, up_by].map(|at| if at == 0 { request.valid_until } else { at.min(request.valid_until) });
         self.outbound.send(Order {
             attempt: AttemptId { request: id, number },
             name: request.asked.name.clone(),
             host: target.clone(),
             expire: self.clock.instant(expire),
+            up_by: self.clock.instant(up_by),
             delicate: effect == Effect::Unsafe && !reads,
             message: request.asked.message.clone(),
         });
@@ -713,21 +725,27 @@
     fn release(&mut self, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.released = true;
-        let (name, last) = (request.asked.name.clone(), request.last.clone());
-        let hosts = self.reachable(last);
+        let name = request.asked.name.clone();
+        let hosts = self.reachable();
         self.outbound.release(id, name, hosts);
     }
 
-    /// The servers through which something may be let go: any of them can, so the likeliest come first.
-    fn reachable(&mut self, first: Option<Rc<Host>>) -> Vec<Rc<Host>> {
+    /// The servers through which something may be let go: any of them can, so the likeliest to be reached come first,
+    /// which are those that answered last. Guards against calls that are tried at one unreachable server after another.
+    fn reachable(&mut self) -> Vec<Rc<Host>> {
         let mut open: Vec<_> = self.hosts.values().filter(|h| h.is_open()).cloned().collect();
         open.sort_by_key(|h| h.id);
         self.turn = self.turn.wrapping_add(1);
         let turn = self.turn % open.len().max(1);
         open.rotate_left(turn);
-        let first = first.filter(|h| h.is_open());
-        open.retain(|h| first.as_ref().is_none_or(|f| f.id != h.id));
-        first.into_iter().chain(open).collect()
+        open.sort_by_key(|h| Reverse(h.heard.get()));
+        open
+    }
+
+    fn heard(&self, host: HostId) {
+        if let Some(host) = self.hosts.get(&host) {
+            host.heard.set(self.clock.now());
+        }
     }
 
     /// Ends a request: the only place that does. `None` where its client has all of the answer or is gone.
--- a/router/src/upstream/mod.rs
+++ b/router/src/upstream/mod.rs
@@ -277,8 +277,8 @@
     let answer = loop {
         // Workers drop kept connections unseen, and a request that is under way then may have run.
         let link = match order.delicate {
-            true => shared.links.open(&order.host, order.expire).await,
-            false => shared.links.take(&order.host, order.expire).await,
+            true => shared.links.open(&order.host, order.up_by).await,
+            false => shared.links.take(&order.host, order.up_by).await,
         };
         let Ok(link) = link else { return none() };
         // A connection may have taken its time: what drains by now is sent nothing more.
--- a/router/src/upstream/model.rs
+++ b/router/src/upstream/model.rs
@@ -8,9 +8,11 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use tokio::time::Instant;
 
-use super::call;
 use super::link::{Link, Links};
-use crate::core::Host;
+use super::{call, Options, Upstream};
+use crate::core::{AttemptId, Ended, Handle, Happening, Host, Order, Outbound};
+use cranetack::{Outcome, RequestId};
+use cranetack_facts::Report;
 use cranetack_standins::{run_paused, Behaviour, Worker};
 
 const MOST: usize = 3;
@@ -158,3 +160,31 @@
     });
     checked.unwrap();
 }
+
+/// Guards against a state that stays held at its reader for as long as a connection to a writer may take to come up.
+#[test]
+fn an_attempt_without_a_connection_ends_when_what_is_held_can_wait_no_longer() {
+    run_paused(async {
+        let worker = Worker::start(1, Behaviour::Answer).await;
+        let (handle, mut happenings) = Handle::new();
+        let options = Options {
+            most_links: 1,
+            connect_timeout: Duration::from_millis(250),
+            idle_close: KEEP,
+            silence: KEEP,
+            report: Report::default(),
+        };
+        let mut upstream = Upstream::new(handle, options, None);
+        let host = Rc::new(Host::new("a", worker.address));
+        let (now, ms) = (Instant::now(), Duration::from_millis);
+        let _only = upstream.shared.links.open(&host, now + KEEP).await.unwrap();
+        let attempt = AttemptId { request: RequestId(1), number: 1 };
+        let (expire, up_by) = (now + KEEP, now + ms(90));
+        let (name, message) = ("q".into(), Rc::default());
+        upstream.send(Order { attempt, name, host, expire, up_by, delicate: true, message });
+        let ended = happenings.recv().await;
+        let Some(Happening::Ended(_, Ended { outcome, .. })) = ended else { panic!("no end") };
+        assert_eq!(outcome, Outcome::NoConn);
+        assert!((ms(90)..ms(100)).contains(&now.elapsed()), "{:?}", now.elapsed());
+    });
+}
--- a/router/tests/core.rs
+++ b/router/tests/core.rs
@@ -14,6 +14,7 @@
 };
 use cranetack_router::exchange::{self, Answer, Caller, Message};
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::Instant;
 
 #[derive(Debug, PartialEq)]
 enum Told {
@@ -25,21 +26,29 @@
 }
 
 #[derive(Clone, Default)]
-struct Notes(Rc<RefCell<Vec<Told>>>, Rc<Cell<bool>>);
+struct Notes {
+    told: Rc<RefCell<Vec<Told>>>,
+    panics: Rc<Cell<bool>>,
+    /// By when the attempt made last must have a connection.
+    up_by: Rc<Cell<Option<Instant>>>,
+    /// The servers through which something was let go last, in the order in which they are tried.
+    through: Rc<RefCell<Vec<String>>>,
+}
 
 impl Notes {
     fn note(&self, told: Told) {
-        self.0.borrow_mut().push(told);
+        self.told.borrow_mut().push(told);
     }
 
     fn take(&self) -> Vec<Told> {
-        self.0.take()
+        self.told.take()
     }
 }
 
 impl Outbound for Notes {
     fn send(&mut self, order: Order) {
-        assert!(!self.1.take(), "a panic on purpose");
+        assert!(!self.panics.take(), "a panic on purpose");
+        self.up_by.set(Some(order.up_by));
         self.note(Told::Send(order.attempt, order.host.name.clone()));
     }
     fn withdraw(&mut self, attempt: AttemptId, _streaming: bool) {
@@ -48,7 +57,8 @@
     fn place(&mut self, _reading: AttemptId, _name: Rc<str>, writer: Rc<Host>) {
         self.note(Told::Place(writer.name.clone()));
     }
-    fn release(&mut self, _request: RequestId, name: Rc<str>, _hosts: Vec<Rc<Host>>) {
+    fn release(&mut self, _request: RequestId, name: Rc<str>, hosts: Vec<Rc<Host>>) {
+        self.through.replace(hosts.iter().map(|h| h.name.clone()).collect());
         self.note(Told::Release(name.to_string()));
     }
     fn probe(&mut self, _host: Rc<Host>) {}
@@ -88,7 +98,7 @@
             period: Some(4_000),
             answer_slack: Some(16_000),
             pin_limit: Some(300_000),
-            max_attempts: Some(4),
+            max_attempts: Some(9),
             ..Settings::default()
         };
         let (notes, (handle, happenings)) = (Notes::default(), Handle::new());
@@ -213,6 +223,53 @@
     assert_eq!(bench.notes.take()[0], Told::Release("q".to_owned()));
 }
 
+/// Guards against a state that stays held while one writer after another cannot be reached, as where a zone is cut off:
+/// each connection had 250 ms, and the time began anew after each.
+#[tokio::test(start_paused = true)]
+async fn what_is_held_waits_no_longer_than_its_limit_for_connections_that_do_not_come_up() {
+    let mut bench = Bench::new(Effect::Unsafe);
+    let writers = (0..9).map(|n| listed(&format!("writer {n}"), 1, Readiness::Up)).collect();
+    bench.core.handle(Happening::Members(ListForm::Patch, writers));
+    let _caller = bench.ask();
+    bench.ended(0, Outcome::HalfDone);
+    let read = Instant::now();
+    let mut tried = 0;
+    loop {
+        let told = bench.notes.take();
+        if told.contains(&Told::Release("q".to_owned())) {
+            break;
+        }
+        let sent = told.iter().find_map(|told| match told {
+            Told::Send(attempt, host) if host != "reader" => Some(attempt.number),
+            _ => None,
+        });
+        tokio::time::sleep_until(bench.notes.up_by.get().unwrap()).await;
+        bench.ended(sent.expect("another writer, or the end"), Outcome::NoConn);
+        tried += 1;
+    }
+    let spent = read.elapsed();
+    assert!(tried > 1 && spent <= Duration::from_millis(300), "{tried} writers in {spent:?}");
+}
+
+/// Guards against calls that let go at one unreachable server after another while what is held waits.
+#[tokio::test(start_paused = true)]
+async fn what_is_held_is_let_go_through_the_servers_that_answered_last() {
+    let mut bench = Bench::new(Effect::Unsafe);
+    let others = (0..20).map(|n| listed(&format!("other {n}"), 1, Readiness::Up)).collect();
+    bench.core.handle(Happening::Members(ListForm::Patch, others));
+    let probed = Host::new("other 7", "127.0.0.1:1".parse().unwrap()).id;
+    let (outcome, spent) = (Outcome::Good, Duration::from_millis(1));
+    bench.core.handle(Happening::Probed { host: probed, outcome, spent, load: None });
+    tokio::time::advance(Duration::from_millis(1)).await;
+    let caller = bench.ask();
+    bench.ended(0, Outcome::HalfDone);
+    drop(caller);
+    bench.drain();
+    bench.ended(1, Outcome::NoConn);
+    assert_eq!(bench.notes.through.borrow()[..2], ["reader", "other 7"]);
+    assert_eq!(bench.notes.through.borrow().len(), 22);
+}
+
 /// Guards against two ends of one request: what comes after the answer has begun changes nothing.
 #[tokio::test(start_paused = true)]
 async fn an_answer_that_has_begun_is_the_only_one() {
@@ -237,7 +294,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_panic_fails_what_is_open_and_the_next_request_is_served() {
     let bench = Bench::new(Effect::Safe);
-    bench.notes.1.set(true);
+    bench.notes.panics.set(true);
     let first = hand_in(&bench.handle, "q");
     let Bench { core, notes, handle, happenings } = bench;
     let serving = async {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -377,7 +377,7 @@
 /// What the module tells the host to do, in this order.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
-    /// Send the request to a server; abandon the attempt at `expire`.
+    /// Send the request to a server; abandon the attempt at `expire`, and at `up_by` if it has no connection by then.
     Route {
         /// The request.
         id: RequestId,
@@ -385,6 +385,8 @@
         host: HostId,
         /// When to give the attempt up.
         expire: Micros,
+        /// By when a connection must be up: what is held for the request must not wait for one. 0 for no such limit.
+        up_by: Micros,
     },
     /// Reserve a place for the request at a writer.
     Earmark {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -348,29 +348,29 @@
         }
         self.learn_work(id, sent, outcome, info);
         self.learn_kept(id, sent, outcome);
+        let pin = self.pin();
         let Some(request) = self.requests.get_mut(&id) else { return };
         match outcome {
             Outcome::HalfDone => request.state = Some((sent.host, self.now)),
-            Outcome::Good => {}
             _ if sent.stage != Stage::Write || no_state => request.state = None,
+            Outcome::Good | Outcome::NoConn => {} // without a connection the state has waited all the while
             _ => request.state = request.state.map(|(host, _)| (host, self.now)),
         }
         let never_ran = matches!(outcome, Outcome::Full | Outcome::NoConn | Outcome::Nop | Outcome::HalfDone);
         if !(never_ran || outcome == Outcome::Good) && sent.stage != Stage::Read && request.ran.is_none() {
             request.ran = Some((sent.host, sent.sent));
         }
-        let (ended, state) = (request.ended, request.state.is_some());
-        if !state {
+        let (ended, until) = (request.ended, request.state.map(|(_, since)| since + pin));
+        let until = until.filter(|until| self.now < *until);
+        if until.is_none() {
             self.let_go(id);
         }
         if ended {
             self.end(id);
         } else {
             self.waiting.insert(id);
-            if state {
-                let at = self.now + self.pin();
-                self.out.push(Action::Sleep { at, key: KEY_REQUEST + u64::from(id.0) });
-            }
+            let wake = |at| Action::Sleep { at, key: KEY_REQUEST + u64::from(id.0) };
+            self.out.extend(until.map(wake));
             self.advance(id);
         }
     }
@@ -509,7 +509,10 @@
         host.cold_turn = turn;
         host.held[0] += weight;
         host.held[1] += f64::from(u8::from(stage != Stage::Read));
+        let pin = self.pin();
         let Some(request) = self.requests.get_mut(&id) else { return false };
+        // Half of what is left, so that another server can be tried.
+        let up_by = request.state.map_or(0, |(_, since)| self.now + (since + pin - self.now) / 2);
         let (attempt, sent, established, overdue) = (request.attempts, self.now, false, None);
         request.out = Some(Out { attempt, host: to, stage, sent, established, weight, toward, overdue });
         request.attempts += 1;
@@ -521,7 +524,7 @@
             self.pace.room_span += ((self.now - self.pace.room_at) as f64 - self.pace.room_span) * ROOM_STEP;
             self.pace.room_at = self.now;
         }
-        self.out.push(Action::Route { id, host: to, expire: ask.valid_until });
+        self.out.push(Action::Route { id, host: to, expire: ask.valid_until, up_by });
         true
     }
 
@@ -616,10 +619,9 @@
 
     /// Nobody waits for the answer: what is out is called off and its state let go when its result comes.
     fn leave(&mut self, id: RequestId) {
-        let out = self.requests.get(&id).and_then(|r| r.out).filter(|o| !o.established);
-        if let Some(out) = out.filter(|_| self.settings.cancelling) {
-            self.out.push(Action::Abort { id, attempt: out.attempt });
-        }
+        let out = self.requests.get(&id).and_then(|r| r.out);
+        let out = out.filter(|o| !o.established && self.settings.cancelling);
+        self.out.extend(out.map(|out| Action::Abort { id, attempt: out.attempt }));
         self.end(id);
     }
 
@@ -979,8 +981,7 @@
 impl Fleet {
     /// The part of a cell's readers (0) or writers (1) that have partners there, against their zone.
     fn paired(&self, member: &Member, stage: usize) -> f64 {
-        let share =
-            |group: (u8, i64)| self.groups.get(&group).map_or(1.0, |n| n[1 - stage] / n[stage].max(1.0));
+        let share = |g: (u8, i64)| self.groups.get(&g).map_or(1.0, |n| n[1 - stage] / n[stage].max(1.0));
         share((0, member.cell.0)) / share((1, member.zone.0 as i64)).max(1e-9)
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -51,7 +51,7 @@
     fn check(&mut self, now: Micros, effect: Effect, actions: &[Action]) {
         for action in actions {
             match action {
-                Action::Route { id, host, expire } => {
+                Action::Route { id, host, expire, .. } => {
                     let (id, host) = (id.0, host.0);
                     let (deadline, answered) = self.deadline[&id];
                     assert!(!answered && now <= deadline, "sent after its end");
