Log a request's session and opening at level debug

Need: whether a session's turns come to the reader that keeps its prompt is a question across routers, and the log told neither. Nothing changes at info.

--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -477,10 +477,11 @@
             released: false,
             over: false,
         };
-        let Asked { name, retry, came_back, .. } = &request.asked;
+        let Asked { name, retry, came_back, session, prefix, .. } = &request.asked;
         let Ask { class, prompt_tokens, shared_tokens, valid_until, .. } = ask;
         let (class, patience) = (class.0, valid_until - now);
-        tracing::debug!(id = %name, class, prompt_tokens, shared_tokens, patience, retry, came_back, "a request has come");
+        tracing::debug!(id = %name, class, prompt_tokens, shared_tokens, patience, retry, came_back, session, prefix,
+            "a request has come");
         self.requests.insert(id, request);
         self.decide(Event::Ask(ask));
     }
