--- a/src/policy.rs
+++ b/src/policy.rs
@@ -10,6 +10,8 @@
 
 use crate::interface::*;
 
+mod standings;
+
 // Weights of the lane score: S = 0.4 C + 0.1 (1-M) + 0.3 (1-Q) + 0.2 (1-L). From the paper, 3.3.
 const WEIGHTS: [f64; 4] = [0.4, 0.1, 0.3, 0.2]; // of kept, memory, queue and live
 const TAU: f64 = 0.85; // overload bound on M/100 + 2Q. From the paper, 3.3
@@ -38,7 +40,8 @@
 const POOL_STEP: f64 = 0.1; // by which late shares move at each answer
 const POOL_LEAST: [f64; 2] = [12.0, 24.0]; // least reads and streams of all dispatchers at each server
 const COLD_SHARE: f64 = 0.8; // share of a cold server's budget that dispatchers use: chance takes the rest
-const CARRIED_FOR: f64 = 10_000_000.0; // span over which the picture of what servers carry fades (us)
+const CARRIED_FOR: f64 = 10_000_000.0; // span over which the picture of what servers carry fades (us) ...
+const CARRIED_LEAST: f64 = 2_000_000.0; // ... and the least life that counts: one event is no rate
 const BALANCERS: u32 = 16; // dispatchers where the settings do not tell: as many as to be careful
 const WORK_STEP: f64 = 0.05; // share by which means move with each request
 const READ_BASE: f64 = 0.2; // what a read of nothing new weighs beside the mean read: step and hand-over
@@ -86,7 +89,8 @@
     kept: BTreeMap<(bool, u64), (u64, Micros)>,
     /// Failures in a row and the end of its time aside, for one class or (`None`) for all.
     fails: BTreeMap<Option<ClassId>, (u32, Micros)>,
-    cold_turn: Micros, // while it is cold, our next send may go there at this time
+    /// While it is cold: since when we wait to send there, and which part of a span; for others, for homes.
+    cold_turn: [(Micros, f64); 2],
     probed_at: Micros,
     refused_at: Micros,
     answered: Micros, // when the latest of ours that it has answered was sent
@@ -154,6 +158,8 @@
     /// Mean work of a request of each class at each stage: uncached tokens read, or time streamed (us).
     work: BTreeMap<(Stage, ClassId), f64>,
     carried: [(f64, Micros); 3], // our work that each stage's warm servers finished, fading; and when updated
+    rates: [f64; 3],             // what each of them carries of ours, as work a us, at the latest look
+    began: Micros,
     /// Limits on all our reads and streams, and their late share. Guards against many dispatchers' one each.
     pools: [(Limit, f64); 2],
     pace: Pace,
@@ -174,6 +180,8 @@
             waiting: BTreeSet::new(),
             work: BTreeMap::new(),
             carried: [(0.0, now); 3],
+            rates: [0.0; 3],
+            began: now,
             pools: [0.0; 2].map(|late| (Limit { most: f64::MAX, cut_at: Micros::MIN }, late)),
             pace: Pace { asked_at: now, room_at: now, ..Pace::default() },
             leaving: None,
@@ -196,8 +204,7 @@
                 self.hear(host, load);
                 self.on_result(id, attempt, outcome, info, no_more);
             }
-            Event::Earmarked { id, held: false, .. } => self.on_refused(id),
-            Event::Earmarked { .. } => {}
+            Event::Earmarked { id, held, .. } => self.on_earmarked(id, held),
             Event::Peer { from, bytes } => self.on_peer(from, &bytes),
             Event::ClientGone(id) => self.leave(id),
             Event::Leaving { from, by } => self.leaving = Some((from, by, LEAVE_WORDS)),
@@ -215,32 +222,14 @@
         out.append(&mut self.out);
     }
 
-    /// How it stands towards each server it knows, by its part of the lane score. Decides nothing.
-    pub fn standings(&mut self, now: Micros) -> Vec<Standing> {
-        self.now = now;
-        let (fleet, ask) = (self.fleet(), Ask { class: ANY_CLASS, ..Ask::default() });
-        let of = |(id, host): (&HostId, &Host)| {
-            let stage = self.stage(host);
-            let reads = Some(self.reader_half(&ask, *id, None, 0, &fleet)).filter(|_| stage != Stage::Write);
-            let writes = Some(self.writer_half(*id, &fleet, 0)).filter(|_| stage != Stage::Read);
-            let sum = |part: fn(&Half) -> f64| reads.iter().chain(&writes).map(part).sum::<f64>();
-            let most = reads.map_or(0.0, |_| WEIGHTS[2]) + writes.map_or(0.0, |_| WEIGHTS[1] + WEIGHTS[3]);
-            let fresh = reads.iter().chain(&writes).all(|h| h.fresh);
-            let takes = self.takes(*id, &ask) && fresh && sum(|h| h.load) <= TAU;
-            Standing { host: *id, takes, worth: (sum(|h| h.worth) / most).clamp(0.0, 1.0) }
-        };
-        self.hosts.iter().map(of).collect()
-    }
-
     fn class(&self, ask: &Ask) -> Option<&Class> {
         self.settings.classes.get(ask.class.0)
     }
 
     fn subscribe(&mut self) {
         self.out.push(Action::Subscribe(true));
-        if let Some(within) = self.settings.ask_within {
-            self.out.push(Action::Sleep { at: self.now + within.max(TICK), key: KEY_SUBSCRIBE });
-        }
+        let wake = |within: Micros| Action::Sleep { at: self.now + within.max(TICK), key: KEY_SUBSCRIBE };
+        self.out.extend(self.settings.ask_within.map(wake));
     }
 
     fn on_members(&mut self, form: ListForm, members: Vec<Member>) {
@@ -257,9 +246,7 @@
             (host.member, host.listed) = (member, member.readiness == Readiness::Up);
             if started != Some(member.last_start) {
                 (host.kept, host.load, host.fails) = Default::default();
-                let span = self.cold_span(&self.hosts[&member.host], ANY_CLASS) as f64;
-                let turn = self.now + (span * uniform(self.rng.next_u64())) as Micros;
-                self.hosts.entry(member.host).and_modify(|h| h.cold_turn = turn);
+                host.cold_turn = [(self.now, uniform(self.rng.next_u64())), (self.now, 0.0)];
             }
         }
         // Machines are replaced by others for as long as this lives: one that is gone is kept while in use.
@@ -376,8 +363,8 @@
     }
 
     /// A writer without room for a place counts as full; another is asked while the prompt is read.
-    fn on_refused(&mut self, id: RequestId) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
+    fn on_earmarked(&mut self, id: RequestId, held: bool) {
+        let Some(request) = self.requests.get_mut(&id).filter(|_| !held) else { return };
         let (place, out) = (request.place.take(), request.out);
         place.and_then(|w| self.hosts.get_mut(&w)).into_iter().for_each(|w| w.refused_at = self.now);
         let more = out.filter(|o| o.stage == Stage::Read && !request.ended && request.places < PLACES_MOST);
@@ -408,6 +395,7 @@
 
     fn on_tick(&mut self) {
         self.out.push(Action::Sleep { at: self.now + TICK, key: KEY_TICK });
+        [Stage::Read, Stage::Write, Stage::Both].into_iter().for_each(|stage| self.learn_rate(stage));
         self.watch();
         self.advance_waiting();
         self.on_leaving();
@@ -419,10 +407,9 @@
 
     /// Sends a probe where they bear reports, as far as our requests allow.
     fn probe(&mut self, id: HostId) -> bool {
-        let may = self.settings.probing && self.settings.reporting == Reporting::OnProbe;
-        let Some(host) = self.hosts.get_mut(&id).filter(|_| may && self.pace.probes >= 1.0) else {
-            return false;
-        };
+        let told = self.settings.probing && self.settings.reporting == Reporting::OnProbe;
+        let may = told && self.pace.probes >= 1.0;
+        let Some(host) = self.hosts.get_mut(&id).filter(|_| may) else { return false };
         (host.probed_at, host.mute) = (self.now, host.mute.min(self.now));
         self.pace.probes -= 1.0;
         self.out.push(Action::Touch(id));
@@ -500,13 +487,12 @@
     }
 
     fn send(&mut self, id: RequestId, to: HostId, stage: Stage, toward: Option<HostId>) -> bool {
-        let may = |r: &&Request| self.open(to) && self.may_repeat(r, (stage != Stage::Read).then_some(to));
+        let may = |r: &&Request| self.may_repeat(r, (stage != Stage::Read).then_some(to));
         let Some(ask) = self.requests.get(&id).filter(may).map(|r| r.ask) else { return false };
         let weight = if stage == Stage::Write { 0.0 } else { self.read_weight(&ask, to) };
-        let cold = self.hosts.get(&to).filter(|h| self.warmth(h) < 1.0);
-        let turn = cold.map_or(Micros::MIN, |h| self.now + self.cold_span(h, ask.class));
+        let part = self.class_work(stage, ask.class, 1.0) / self.class_work(stage, ANY_CLASS, 1.0);
         let Some(host) = self.hosts.get_mut(&to) else { return false };
-        host.cold_turn = turn;
+        host.cold_turn = [(self.now, part); 2];
         host.held[0] += weight;
         host.held[1] += f64::from(u8::from(stage != Stage::Read));
         let pin = self.pin();
@@ -529,24 +515,25 @@
     }
 
     fn earmark(&mut self, id: RequestId, writer: HostId) {
-        if self.settings.earmarks && self.open(writer) {
-            if let Some(request) = self.requests.get_mut(&id) {
-                request.place = Some(writer);
-                request.places += 1;
-                request.holds = true;
-                self.out.push(Action::Earmark { id, host: writer });
-            }
-        }
+        let may = self.settings.earmarks && self.open(writer, false);
+        let Some(request) = self.requests.get_mut(&id).filter(|_| may) else { return };
+        (request.place, request.places, request.holds) = (Some(writer), request.places + 1, true);
+        self.out.push(Action::Earmark { id, host: writer });
     }
 
-    fn open(&self, id: HostId) -> bool {
-        self.hosts.get(&id).is_some_and(|h| h.listed && (self.warmth(h) >= 1.0 || self.now >= h.cold_turn))
+    /// Whether it takes work, and our turn has come if it is cold. Homes need not wait for a first turn: a
+    /// server draws as many as the part of its capacity that it has (see `home`).
+    fn open(&self, id: HostId, home: bool) -> bool {
+        let turn = |h: &Host| h.cold_turn[usize::from(home)];
+        let due = |h: &Host| self.now >= turn(h).0 + (self.cold_span(h) * turn(h).1) as Micros;
+        self.hosts.get(&id).is_some_and(|h| h.listed && (self.warmth(h) >= 1.0 || due(h)))
     }
 
     /// Whether it is open, of a kind that the request may go to, and not set aside for failures.
-    fn takes(&self, id: HostId, ask: &Ask) -> bool {
+    fn takes(&self, id: HostId, ask: &Ask, home: bool) -> bool {
         let aside = |key| self.hosts[&id].fails.get(key).is_some_and(|(_, until)| self.now < *until);
-        self.open(id) && ask.fits(self.hosts[&id].member.kind) && ![None, Some(ask.class)].iter().any(aside)
+        let fits = ask.fits(self.hosts[&id].member.kind);
+        fits && self.open(id, home) && ![None, Some(ask.class)].iter().any(aside)
     }
 
     /// Whether another attempt (at `to`, where it could run) cannot repeat an effect.
@@ -645,15 +632,21 @@
     }
 
     /// The span between our sends to a cold server, the first drawn. Guards against many pushing it over.
-    fn cold_span(&self, host: &Host, class: ClassId) -> Micros {
+    fn cold_span(&self, host: &Host) -> f64 {
         let (stage, multiple) = (self.stage(host), self.settings.fall_multiple.unwrap_or(FALL_MULTIPLE));
+        let rate = multiple * self.warmth(host) * COLD_SHARE * self.rates[stage as usize];
+        let most = self.settings.fall_window.unwrap_or(FALL_WINDOW) as f64 * self.balancers();
+        (self.class_work(stage, ANY_CLASS, 1.0) / rate).min(most)
+    }
+
+    /// What each warm server of a stage carries of ours. A short life counts for what it is: guards against a
+    /// fleet that restarts and takes its servers for idle until the whole span has passed.
+    fn learn_rate(&mut self, stage: Stage) {
         let is_warm = |h: &&Host| h.listed && self.stage(h) == stage && self.warmth(h) >= 1.0;
-        let warm = self.hosts.values().filter(is_warm).count();
+        let warm = self.hosts.values().filter(is_warm).count().max(1) as f64;
         let (carried, at) = self.carried[stage as usize];
-        let carried = carried * (-((self.now - at) as f64) / CARRIED_FOR).exp() / warm.max(1) as f64;
-        let rate = multiple * self.warmth(host) * COLD_SHARE * carried / CARRIED_FOR;
-        let most = self.settings.fall_window.unwrap_or(FALL_WINDOW) as f64 * self.balancers();
-        (self.class_work(stage, class, 1.0) / rate).min(most) as Micros
+        let seen = (CARRIED_FOR * (1.0 - faded(self.now - self.began))).max(CARRIED_LEAST);
+        self.rates[stage as usize] = carried * faded(self.now - at) / seen / warm;
     }
 
     fn balancers(&self) -> f64 {
@@ -752,8 +745,7 @@
         let work = self.class_work(stage, ask.class, work);
         if self.hosts.get(&sent.host).is_some_and(|h| self.warmth(h) >= 1.0) {
             let (carried, at) = self.carried[stage as usize];
-            let kept = (-((self.now - at) as f64) / CARRIED_FOR).exp();
-            self.carried[stage as usize] = (carried * kept + work, self.now);
+            self.carried[stage as usize] = (carried * faded(self.now - at) + work, self.now);
         }
     }
 
@@ -828,7 +820,7 @@
         let (salt, ask) = (self.rng.next_u64(), self.requests[&id].ask);
         for (id, host) in &self.hosts {
             let room = host.held[0] < host.limits[0].most && host.held[1] + host.coming < host.limits[1].most;
-            if !room || !self.takes(*id, &ask) {
+            if !room || !self.takes(*id, &ask, home == Some(*id)) {
                 continue;
             }
             let (dice, stage) = (mix(salt ^ id.0) as u32, self.stage(host));
@@ -836,12 +828,10 @@
             let unpaired =
                 stage != Stage::Both && uniform(salt ^ !id.0) >= fleet.paired(&host.member, stage as usize);
             let group = if unpaired { (1, host.member.zone.0 as i64) } else { (0, host.member.cell.0) };
-            if stage != Stage::Write {
-                readers.push(Half { group, ..self.reader_half(&ask, *id, home, dice, fleet) });
-            }
-            if stage != Stage::Read {
-                writers.push(Half { group, ..self.writer_half(*id, fleet, dice) });
-            }
+            let reader = || Half { group, ..self.reader_half(&ask, *id, home, dice, fleet) };
+            readers.extend((stage != Stage::Write).then(reader));
+            let writer = || Half { group, ..self.writer_half(*id, fleet, dice) };
+            writers.extend((stage != Stage::Read).then(writer));
         }
         // No reader is left: writers that read for themselves take requests whole.
         if readers.is_empty() && self.settings.writers_read {
@@ -858,7 +848,7 @@
         let salt = self.rng.next_u64();
         let (request, _) = (self.requests.get(&id)?, self.hosts.get(&reader)?);
         let ask = request.ask;
-        if let Some(place) = request.place.filter(|w| self.takes(*w, &ask)) {
+        if let Some(place) = request.place.filter(|w| self.takes(*w, &ask, false)) {
             return Some(place);
         }
         let fleet = self.fleet();
@@ -866,7 +856,7 @@
         let half = Half { load: 0.0, fresh: true, whole: false, ..half };
         let hosts = self.hosts.iter().filter(|(_, h)| self.stage(h) != Stage::Read).map(|(id, _)| *id);
         let of = |id| Half { whole: false, ..self.writer_half(id, &fleet, mix(salt ^ id.0) as u32) };
-        let writers: Vec<_> = hosts.filter(|id| self.takes(*id, &ask)).map(of).collect();
+        let writers: Vec<_> = hosts.filter(|id| self.takes(*id, &ask, false)).map(of).collect();
         best_lane(&[half], &writers, 1).map(|(_, writer)| writer)
     }
 
@@ -928,7 +918,7 @@
             for (sum, figure) in sums.iter_mut().zip(self.figures(host)).filter(|_| host.listed) {
                 sum[stage] = figure.map_or(sum[stage], |value| (sum[stage].0 + value, sum[stage].1 + 1.0));
             }
-            if stage < 2 && self.open(*id) {
+            if stage < 2 && self.open(*id, false) {
                 for group in [(0, member.cell.0), (1, member.zone.0 as i64), (2, 0)] {
                     fleet.groups.entry(group).or_default()[stage] += 1.0;
                 }
@@ -951,18 +941,25 @@
     /// The home of a session unknown here, on which a zone's dispatchers agree: rendezvous hashing.
     fn home(&self, ask: &Ask, fleet: &Fleet) -> Option<HostId> {
         let session = ask.session?;
-        let [[near, far], late] = self.pace.late;
-        let away = uniform(!mix(session.0)) < (near - far - SPREAD_MARGIN) * SPREAD_GAIN;
+        let [[late, elsewhere], kinds] = self.pace.late;
+        let near = |h: &Host| self.settings.zone == Some(h.member.zone);
+        let warmth = |all: bool| {
+            let of = |h: &&Host| h.listed && self.stage(h) != Stage::Write && (all || near(h));
+            let of = self.hosts.values().filter(of).map(|h| self.warmth(h));
+            of.clone().sum::<f64>() / of.count().max(1) as f64
+        };
+        let (late, cold) = (late - elsewhere - SPREAD_MARGIN, 1.0 - warmth(false) / warmth(true));
+        let away = uniform(!mix(session.0)) < cold.max(late * SPREAD_GAIN);
         let known = |h: &Host| h.kept.get(&(true, session.0)).is_some_and(|k| self.now < k.1 + KEPT_FOR);
         let [readers, writers] = fleet.groups.get(&(2, 0)).map_or([1.0; 2], |n| n.map(|n| n.max(1.0)));
         let draw = |(id, h): (&HostId, &Host)| {
             let whole = self.stage(h) != Stage::Read;
             let weight =
-                if whole { HOME_WHOLE } else { writers / readers } * (1.0 - late[usize::from(whole)]);
+                if whole { HOME_WHOLE } else { writers / readers } * (1.0 - kinds[usize::from(whole)]);
             let drawn = uniform(session.0 ^ mix(id.0)).ln() / (weight * self.warmth(h));
-            ((away || self.settings.zone == Some(h.member.zone), drawn), *id)
+            ((away || near(h), drawn), *id)
         };
-        let open = self.hosts.iter().filter(|(id, h)| self.open(**id) && self.stage(h) != Stage::Write);
+        let open = self.hosts.iter().filter(|(id, h)| self.open(**id, true) && self.stage(h) != Stage::Write);
         if open.clone().any(|(_, h)| known(h)) {
             return None;
         }
@@ -1045,6 +1042,11 @@
     fit.or_else(|| (1..3).find_map(|level| pick(rs, ws, level, false)))
 }
 
+/// What is left of a picture of what servers carry after this span.
+fn faded(span: Micros) -> f64 {
+    (-(span as f64) / CARRIED_FOR).exp()
+}
+
 /// A number above 0 and below 1, spread evenly over `x`.
 fn uniform(x: u64) -> f64 {
     ((mix(x) >> 11) as f64 + 0.5) / (1_u64 << 53) as f64
@@ -1079,7 +1081,7 @@
             load: None,
             kept: BTreeMap::new(),
             fails: BTreeMap::new(),
-            cold_turn: Micros::MIN,
+            cold_turn: [(0, 0.0); 2],
             probed_at: Micros::MIN / 2,
             refused_at: Micros::MIN / 2,
             answered: Micros::MIN,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -63,3 +63,59 @@
     }
     assert_eq!(routes(&front.ask(ask(1, START))), vec![(1, 2)]);
 }
+
+/// Sends by each of 200 dispatchers, which know nothing yet, of one request of a session of its own. Reader 1 is cold.
+fn first_sends_to_a_cold_reader(session: Option<u64>) -> usize {
+    let members = vec![cold(1, 0, 0), member(3, 0, 0), member(5, 0, 0), member(9, 1, 0)];
+    let to_cold = |seed: u64| {
+        let settings = Settings { balancers: Some(200), ..settings(Effect::Safe) };
+        let (mut front, _) = Front::seeded(settings, members.clone(), seed);
+        let session = session.map(|s| SessionId(s + seed));
+        let sent = routes(&front.ask(Ask { session, ..ask(1, front.now) }));
+        sent.iter().filter(|(_, host)| *host == 1).count()
+    };
+    (0..200).map(to_cold).sum()
+}
+
+/// Guards against readers that stand idle after a release: where each of many dispatchers waits for a turn of its own
+/// before its first send there, a cold reader gets nothing for as long as it takes to warm.
+#[test]
+fn a_cold_reader_gets_the_sessions_whose_home_it_is_from_dispatchers_that_just_started() {
+    // Its weight as a home is the part of its capacity that it has, 0.28 of 2.28: 25 of 200. It bears 2.5 times that.
+    let homes = first_sends_to_a_cold_reader(Some(1_000));
+    assert!((12..50).contains(&homes), "{homes} of 200 sessions");
+    let others = first_sends_to_a_cold_reader(None);
+    assert!(others <= 2, "{others} requests that have no home there");
+}
+
+/// Guards against a fleet that has just been restarted and takes its servers for idle: what the warm ones carry is
+/// known from the first seconds, so that a cold one's part of it is no smaller than to dispatchers that are old.
+#[test]
+fn a_dispatcher_that_started_seconds_ago_gives_a_cold_server_as_much_as_an_old_one() {
+    let sent_after = |lived: u32| -> usize {
+        let sent = |seed: u64| {
+            let members = vec![member(1, 0, 0), member(3, 0, 0), member(9, 1, 0)];
+            let settings = Settings { balancers: Some(100), ..settings(Effect::Safe) };
+            let (mut front, _) = Front::seeded(settings, members, seed);
+            let served = |front: &mut Front, id: u32| {
+                let sent = routes(&front.ask(ask(id, front.now)));
+                for (id, host) in &sent {
+                    front.on(result(*id, 0, *host, Outcome::HalfDone));
+                    let (id, attempt, host) = (RequestId(*id), 1, HostId(9));
+                    front.on(Event::Established { id, attempt, host, spent: 1 });
+                    front.on(result(id.0, 1, 9, Outcome::Good));
+                }
+                front.pass(SECOND / 2);
+                sent.iter().filter(|(_, host)| *host == 5).count()
+            };
+            let before: usize = (0..2 * lived).map(|id| served(&mut front, id)).sum();
+            assert_eq!(before, 0, "it is not listed yet");
+            let cold = Member { last_start: Some(front.now), ..member(5, 0, 0) };
+            front.on(Event::Members { form: ListForm::Patch, members: vec![cold] });
+            (1_000..1_020).map(|id| served(&mut front, id)).sum::<usize>()
+        };
+        (0..40).map(sent).sum()
+    };
+    let (young, old) = (sent_after(3), sent_after(60));
+    assert!(old > 40 && young * 10 >= old * 9, "{young} sends after 3 s, {old} after 60 s");
+}
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -70,3 +70,33 @@
     let (even, jammed) = (share_whole(SECOND / 50, SECOND / 50), share_whole(SECOND, SECOND / 50));
     assert!(jammed > even + 0.15, "a share of {jammed} while readers are late, {even} while they are not");
 }
+
+/// The share of new sessions of dispatchers of zone 0 that read elsewhere, as far as readers of each zone are cold.
+fn share_away_of(cold: [bool; 3]) -> f64 {
+    let line = |host: u64, kind, zone: usize| Member {
+        zone: ZoneId(zone),
+        last_start: (kind == 0 && cold[zone]).then_some(START - SECOND),
+        ..member(host + 10 * zone as u64, kind, zone as i64)
+    };
+    let members: Vec<Member> =
+        (0..3).flat_map(|z| (0..6).map(move |h| line(h, usize::from(h > 2), z))).collect();
+    let away = |seed: u64| {
+        let settings = Settings { zone: Some(ZoneId(0)), balancers: Some(100), ..settings(Effect::Safe) };
+        let (mut front, _) = Front::seeded(settings, members.clone(), seed);
+        let session = Some(SessionId(seed * 7919));
+        let sent = routes(&front.ask(Ask { session, ..ask(1, front.now) }));
+        sent.iter().filter(|(_, reader)| *reader >= 10).count() as f64
+    };
+    (0..200).map(away).sum::<f64>() / 200.0
+}
+
+/// Guards against a zone whose servers have all just been replaced: its dispatchers would keep its traffic there.
+#[test]
+fn sessions_leave_a_zone_as_far_as_its_readers_are_colder_than_all() {
+    let away = share_away_of([true, false, false]);
+    assert!((0.4..0.9).contains(&away), "a share of {away} reads elsewhere");
+    for cold in [[true; 3], [false; 3], [false, true, true]] {
+        let away = share_away_of(cold);
+        assert!(away < 0.05, "a share of {away} reads elsewhere though {cold:?} are cold");
+    }
+}
