Open a silent watch of discovery anew within 4 s, whatever the number of routers

The first watch of all 279 routers fell silent; until 24 to 80 s they sent to servers that were gone (885 refused connections in 4 s) and none to the new ones.

At fault, router/src/discovery.rs: HOLD, a span of 0.1 s times the number of routers; ANSWER, 4 s beyond it, where news count as told 2 s after it; the backoff after any failure, up to 0.2 s, then 0.4 s times the number of routers: 112 s with 279. Harmless with 3 routers (0.6 s).

Change: silence, refusal and no connection are told apart. After silence the call is made anew at once: its time has been waited already. Only refusals draw from the budget of all routers, at most three times the settings' span for asking; without a connection it is 50 to 200 ms. Watches hold 1.4 to 2 s, drawn, as news end all of them at once; after refusals up to what they held before. They are left 1.8 s after their span.

Tests: a follower of an agent whose watch falls silent, on a paused clock with 1, 300 and 1,024 routers (it fails with the old waits); bounds of all waits for up to 2^32 routers; spread of watches.

--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -183,7 +183,8 @@
         }
         let (fresh_tx, fresh) = watch::channel(false);
         let late = fresh_tx.clone();
-        let pace = discovery::Pace::new(settings.balancers, config.seed);
+        let ask_within = settings.ask_within.and_then(|us| u64::try_from(us).ok()).map(Duration::from_micros);
+        let pace = discovery::Pace::new(settings.balancers, ask_within, config.seed);
         let known = config.known.as_ref().map(|list| list.index);
         let (facts, told) = (config.facts.clone(), handle.clone());
         spawn_local(discovery::watch(discovery, known, facts, told, fresh_tx, pace));
