Let go of a place of which its writer is unsure while the read is still awaited

The read was written to a kept connection that had gone silent, so none of its attempts was out; the writer waited 0.3 s for it, answered 204 ('a place may nonetheless be held'), and held the place for nobody.

Ruled out: a release that was lost (no 'nobody could be told to let go' in any log); a release that overtook its read (in neither case was anything called off in the second before).

At fault: router/src/core.rs, placed: an unsure place was let go only where the request no longer wanted one.

Change: it is also let go while the read for which it was asked is still awaited.

The test fails without the line.

--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -204,8 +204,8 @@
     Ended(AttemptId, Ended),
     /// A request for a place was answered, or may have been heard.
     Placed {
-        /// The request.
-        request: RequestId,
+        /// The attempt whose read the place was asked for.
+        reading: AttemptId,
         /// Its id on the wire.
         name: Rc<str>,
         /// The writer.
@@ -413,7 +413,7 @@
                 self.established(attempt, media_type, parts);
             }
             Happening::Ended(attempt, ended) => self.ended(attempt, ended),
-            Happening::Placed { request, name, host, place } => self.placed(request, name, host, place),
+            Happening::Placed { reading, name, host, place } => self.placed(reading, name, host, place),
             Happening::Probed { host, outcome, spent, load } => {
                 if let Some(host) = self.hosts.get(&host) {
                     tracing::debug!(to = host.name, ?outcome, ?spent, ?load, "a probe has ended");
@@ -536,15 +536,19 @@
     }
 
     /// A place that may be held for a request that no longer wants one is let go: the answer may have
-    /// crossed the module's own release.
-    fn placed(&mut self, id: RequestId, name: Rc<str>, host: HostId, place: Place) {
+    /// crossed the module's own release. So is one of which the writer is unsure while we still wait for the read: none
+    /// was out where it looked, so the read may be under way on a connection that has gone silent, with nothing out at
+    /// its reader, and the place would be held for nobody.
+    fn placed(&mut self, reading: AttemptId, name: Rc<str>, host: HostId, place: Place) {
+        let id = reading.request;
         let request = self.requests.get(&id);
         let wanted = request.is_some_and(|r| !r.over && !r.released && !r.streaming());
         tracing::debug!(id = %name, ?place, wanted, "a place was answered for");
         if place != Place::Unsure {
             self.heard(host);
         }
-        if !wanted && place != Place::Refused {
+        let unread = request.and_then(|r| r.out.as_ref()).is_some_and(|o| o.number == reading.number);
+        if (!wanted && place != Place::Refused) || (place == Place::Unsure && unread) {
             let hosts = self.reachable();
             self.outbound.release(id, name, hosts);
         } else if wanted && place != Place::Unsure && request.is_some_and(|r| r.out.is_some()) {
--- a/router/src/upstream/mod.rs
+++ b/router/src/upstream/mod.rs
@@ -126,7 +126,7 @@
         tokio::task::spawn_local(async move {
             if let Some(place) = shared.ask_place(written, &name, &writer).await {
                 let host = writer.id;
-                shared.handle.tell(Happening::Placed { request: reading.request, name, host, place });
+                shared.handle.tell(Happening::Placed { reading, name, host, place });
             }
         });
     }
--- a/router/tests/core.rs
+++ b/router/tests/core.rs
@@ -141,7 +141,7 @@
 
     fn placed(&mut self, place: Place) {
         let host = Host::new("writer", "127.0.0.1:1".parse().unwrap()).id;
-        self.core.handle(Happening::Placed { request: RequestId(0), name: "q".into(), host, place });
+        self.core.handle(Happening::Placed { reading: attempt(0), name: "q".into(), host, place });
     }
 }
 
@@ -202,6 +202,22 @@
     assert_eq!(bench.notes.take(), [], "one that is still wanted stays");
 }
 
+/// Guards against a place that is held for nobody: the read was written to a connection that had gone silent, so that
+/// none of the attempts was out, and the writer answered after 0.3 s that it knew of no read.
+#[tokio::test(start_paused = true)]
+async fn a_place_of_which_the_writer_is_unsure_is_released_while_the_read_is_awaited() {
+    let mut bench = Bench::new(Effect::Safe);
+    let _caller = bench.ask();
+    bench.notes.take();
+    bench.placed(Place::Unsure);
+    assert_eq!(bench.notes.take(), [Told::Release("q".to_owned())]);
+    // The read comes to its end after all: it is answered as ever.
+    bench.ended(0, Outcome::HalfDone);
+    assert_eq!(bench.notes.take(), [Told::Send(attempt(1), "writer".to_owned())]);
+    bench.placed(Place::Unsure);
+    assert_eq!(bench.notes.take(), [], "a state that is being written is not let go under it");
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_unsafe_request_that_may_have_run_fails_at_once_and_is_not_sent_again() {
     let mut bench = Bench::new(Effect::Unsafe);
