See clients that leave while their answer is awaited, though bytes stand before the close

At fault, router/src/front: the library behind the server side stops reading a connection while a request on it is being answered once it has any bytes beyond that request, so a close that stands behind a request sent ahead was seen only when the first answer was out. Ruled out: plain closes, half-closes and resets, which it sees (tests of the read and of batches).

Change: the seat reads ahead, at most 16 KiB, while a request is being answered and the library does not read; the end of the stream ends the connection, which tells the core as ever. What was read ahead is handed on first, and its buffer is let go.

--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -269,25 +269,27 @@
     stream: TcpStream, seat: Seat, service: Serving<F>, mut phase: watch::Receiver<Phase>,
 ) {
     let _ = stream.set_nodelay(true);
+    let (stream, ahead) = seat.watch(stream);
     // How long a client may take is the seat's affair.
     let served = http1::Builder::new()
         .header_read_timeout(None)
         .max_buf_size(BUFFER_MOST)
-        .serve_connection(TokioIo::new(seat.watch(stream)), TowerToHyperService::new(service));
+        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service));
     tokio::pin!(served);
+    let ended = async {
+        tokio::select! {
+            biased;
+            ended = &mut served => return ended,
+            _ = phase.wait_for(|p| *p >= Phase::Finishing) => served.as_mut().graceful_shutdown(),
+        }
+        served.await
+    };
     // A connection that is to be closed reads nothing more: what it would take now would be lost.
     let ended = tokio::select! {
         biased;
         () = seat.closed() => return,
-        ended = &mut served => ended,
-        _ = phase.wait_for(|p| *p >= Phase::Finishing) => {
-            served.as_mut().graceful_shutdown();
-            tokio::select! {
-                biased;
-                () = seat.closed() => return,
-                ended = served => ended,
-            }
-        }
+        ended = ended => ended,
+        () = ahead.left() => return tracing::debug!("a client has left before its answer was out"),
     };
     if let Err(error) = ended {
         tracing::debug!(%error, "a client's connection ended");
--- a/router/src/front/seat.rs
+++ b/router/src/front/seat.rs
@@ -3,13 +3,15 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
+use bytes::{Buf, BytesMut};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
@@ -32,6 +34,9 @@
 /// By how much a client that has not asked counts as idle for longer than one whose request was answered.
 const SILENT_BIAS: Duration = Duration::from_secs(5);
 
+/// The most that is read of a connection while a request on it is being answered, to see whether its client leaves.
+const AHEAD_MOST: usize = 16 * 1024;
+
 /// How long a front's clients may take.
 #[derive(Debug, Clone, Copy)]
 pub struct Waits {
@@ -64,6 +69,8 @@
     /// Since when the client has read nothing of what waits for it.
     blocked: Cell<Option<Instant>>,
     framing: RefCell<Framing>,
+    /// What has been read ahead.
+    ahead: RefCell<BytesMut>,
     close: Notify,
 }
 
@@ -127,6 +134,7 @@
             state: Cell::new(State::Coming(Instant::now())),
             blocked: Cell::default(),
             framing: RefCell::new(Framing::of_requests()),
+            ahead: RefCell::default(),
             close: Notify::new(),
         });
         self.taken.borrow_mut().insert(number, known.clone());
@@ -165,9 +173,11 @@
 }
 
 impl Seat {
-    /// The stream, watched.
-    pub fn watch(&self, stream: TcpStream) -> Watched {
-        Watched { stream, known: self.known.clone() }
+    /// The stream, watched, and through which its end is seen while nobody reads it.
+    pub fn watch(&self, stream: TcpStream) -> (Watched, Ahead) {
+        let stream = Rc::new(RefCell::new(stream));
+        let ahead = Ahead { stream: stream.clone(), known: self.known.clone() };
+        (Watched { stream, known: self.known.clone() }, ahead)
     }
 
     /// Through which requests on this connection are told of.
@@ -227,18 +237,56 @@
     }
 }
 
+/// Reads ahead while a request is being answered, so that a client which leaves is seen to. Guards against a close that
+/// stands behind bytes which nobody reads until the answer is out: the library stops reading once it has any.
+pub struct Ahead {
+    stream: Rc<RefCell<TcpStream>>,
+    known: Rc<Known>,
+}
+
+impl Ahead {
+    /// Waits until the client has left while a request of it is being answered. Must be polled in the task that reads
+    /// the stream, and after that: whoever polls last is woken.
+    pub async fn left(&self) {
+        poll_fn(|cx| self.poll_left(cx)).await;
+    }
+
+    fn poll_left(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut piece = [0; 2 * 1024];
+        while matches!(self.known.state.get(), State::Open) && self.known.ahead.borrow().len() < AHEAD_MOST {
+            let mut read = ReadBuf::new(&mut piece);
+            let ended = ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, &mut read)).is_err();
+            if ended || read.filled().is_empty() {
+                return Poll::Ready(());
+            }
+            self.known.ahead.borrow_mut().extend_from_slice(read.filled());
+            cx.waker().wake_by_ref(); // whoever waits for it has been polled already
+        }
+        Poll::Pending
+    }
+}
+
 /// A client's stream, with a look at what passes.
 pub struct Watched {
-    stream: TcpStream,
+    stream: Rc<RefCell<TcpStream>>,
     known: Rc<Known>,
 }
 
 impl AsyncRead for Watched {
-    fn poll_read(
-        mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let mut ahead = self.known.ahead.borrow_mut();
+        let read = if ahead.is_empty() {
+            Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf)
+        } else {
+            let here = ahead.len().min(buf.remaining());
+            buf.put_slice(&ahead[..here]);
+            ahead.advance(here);
+            if ahead.is_empty() {
+                *ahead = BytesMut::new(); // kept connections hold no buffer
+            }
+            Poll::Ready(Ok(()))
+        };
         let mut framing = self.known.framing.borrow_mut();
         framing.take(&buf.filled()[before..]);
         if matches!(self.known.state.get(), State::Kept(_)) && !framing.is_between() {
@@ -249,18 +297,18 @@
 }
 
 impl AsyncWrite for Watched {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, buf);
         let blocked = self.known.blocked.get().unwrap_or_else(Instant::now);
         self.known.blocked.set(written.is_pending().then_some(blocked));
         written
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
     }
 }
--- a/router/tests/platform.rs
+++ b/router/tests/platform.rs
@@ -147,6 +147,36 @@
     });
 }
 
+/// Guards against a client that has left unseen, as its close stands behind a request that it sent ahead: its first
+/// request is called off, and the one behind it is never sent on.
+#[test]
+fn a_client_that_leaves_behind_a_request_sent_ahead_is_seen_to_leave() {
+    run(async {
+        let (reader, writer, bed) = pair(Behaviour::Answer).await;
+        reader.behaviour.set(Behaviour::Hang);
+        let asks = |id: &str, body: &str| {
+            format!(
+                "POST {CHAT} HTTP/1.1\r\nhost: app\r\nx-request-id: {id}\r\nx-class: chat\r\n\
+                 x-deadline-ms: 60000\r\ncontent-length: {}\r\n\r\n{body}",
+                body.len()
+            )
+        };
+        // A small one that comes along with the first, and one of which the library reads a part.
+        for (n, body) in ["{}".to_owned(), "x".repeat(14 * 1024)].iter().enumerate() {
+            let [first, second] = ["first", "second"].map(|name| format!("{name}{n}"));
+            let mut client = Raw::connect(bed.platform).await;
+            client.send(&(asks(&first, "{}") + &asks(&second, body))).await;
+            reader.until(|seen| seen.contains(&Seen::Began(CHAT.to_owned(), first.clone()))).await;
+            drop(client);
+            reader.until(|seen| seen.contains(&Seen::Freed(first.clone()))).await;
+            while rooms(&reader, "DELETE", &first) + rooms(&writer, "DELETE", &first) == 0 {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        }
+        assert_eq!((reader.began(CHAT), writer.began(CHAT)), (2, 0));
+    });
+}
+
 /// Guards against kept connections whose workers have died: they are noticed, and nothing is sent twice.
 #[test]
 fn connections_that_died_while_kept_are_not_used() {
