Give openings few homes, on which routers agree: more of each prompt is found kept

Openings asked for 5 to 14 times were read at 3 to 9 readers.

Ruled out: evictions (0.03 million), sessions that moved (0.5 million), writers (no late second stage in the log), readers too few (busy 40 % in the mean). Dropped: reported queues that count by their excess over the mean, as one jammed reader of two is its own mean.

Change: readers are ranked for the opening by rendezvous hashing, the first of them are its homes, one or as many as twice its share of the requests seen here would fill, and the session is drawn among these. Arithmetic that decides nothing has a file of its own.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -2,14 +2,15 @@
 //!
 //! The types it speaks in are in `src/interface.rs`. Lanes are scored as in `docs/design.md`.
 
-use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 
 use rand_core::RngCore;
 use rand_pcg::Pcg32;
 
 use crate::interface::*;
+use arithmetic::{mix, seen, uniform, Fading};
 
+mod arithmetic;
 mod standings;
 
 // Weights of the lane score: S = 0.4 C + 0.1 (1-M) + 0.3 (1-Q) + 0.2 (1-L). From the paper, 3.3.
@@ -25,6 +26,8 @@
 const SPREAD_FADE: f64 = 0.02; // part of the late share elsewhere that fades with each read: it may be old
 const HOME_KEPT: f64 = 0.9; // share of a prompt that its home is taken to keep: half are later turns
 const HOME_WHOLE: f64 = 0.6; // weight as a home of a server that does both, where a writer's is 1
+const HOMES: f64 = 2.0; // homes of an opening for each reader that its share of requests would fill
+const SHARES_LEAST: f64 = 40.0; // requests of which that share is taken at least: one of a few tells little
 const REFUSED_FOR: Micros = 1_000_000; // span for which a writer that refused a place counts as full (us)
 const PLACES_MOST: u32 = 3; // places asked for in a read
 const KEPT_MOST: usize = 2_000; // most kept shares remembered for a server
@@ -40,7 +43,7 @@
 const POOL_STEP: f64 = 0.1; // by which late shares move at each answer
 const POOL_LEAST: [f64; 2] = [12.0, 24.0]; // least reads and streams of all dispatchers at each server
 const COLD_SHARE: f64 = 0.8; // share of a cold server's budget that dispatchers use: chance takes the rest
-const CARRIED_FOR: f64 = 10_000_000.0; // span over which the picture of what servers carry fades (us) ...
+const CARRIED_FOR: Micros = 10_000_000; // span over which the picture of what servers carry fades (us) ...
 const CARRIED_LEAST: f64 = 2_000_000.0; // ... and the least life that counts: one event is no rate
 const BALANCERS: u32 = 16; // dispatchers where the settings do not tell: as many as to be careful
 const WORK_STEP: f64 = 0.05; // share by which means move with each request
@@ -157,8 +160,9 @@
     waiting: BTreeSet<RequestId>,
     /// Mean work of a request of each class at each stage: uncached tokens read, or time streamed (us).
     work: BTreeMap<(Stage, ClassId), f64>,
-    carried: [(f64, Micros); 3], // our work that each stage's warm servers finished, fading; and when updated
-    rates: [f64; 3],             // what each of them carries of ours, as work a us, at the latest look
+    openings: BTreeMap<Option<PrefixId>, Fading>, // requests of each, and of all (`None`), lately
+    carried: [Fading; 3], // our work that each stage's warm servers finished lately ...
+    rates: [f64; 3],      // ... and what each of them carries of it a us, at the latest look
     began: Micros,
     /// Limits on all our reads and streams, and their late share. Guards against many dispatchers' one each.
     pools: [(Limit, f64); 2],
@@ -179,7 +183,8 @@
             requests: BTreeMap::new(),
             waiting: BTreeSet::new(),
             work: BTreeMap::new(),
-            carried: [(0.0, now); 3],
+            openings: BTreeMap::new(),
+            carried: Default::default(),
             rates: [0.0; 3],
             began: now,
             pools: [0.0; 2].map(|late| (Limit { most: f64::MAX, cut_at: Micros::MIN }, late)),
@@ -214,8 +219,7 @@
             Event::Probed { host, outcome, load, .. } => {
                 self.hear(host, load);
                 self.judge(host, None, outcome);
-                let done = |r: &mut Request| r.look = r.look.filter(|(reader, _)| *reader != host);
-                self.requests.values_mut().for_each(done);
+                self.requests.values_mut().for_each(|r| r.look = r.look.filter(|(at, _)| *at != host));
                 self.advance_waiting();
             }
         }
@@ -237,8 +241,7 @@
             self.out.push(Action::Sleep { at: self.now + SUBSCRIBE_AGAIN, key: KEY_SUBSCRIBE });
         }
         if matches!(form, ListForm::Whole | ListForm::Stale) {
-            let gone = |h: &mut Host| (h.listed, h.member.readiness) = (false, Readiness::Gone);
-            self.hosts.values_mut().for_each(gone);
+            self.hosts.values_mut().for_each(|h| (h.listed, h.member.readiness) = (false, Readiness::Gone));
         }
         for member in members {
             let started = self.hosts.get(&member.host).map(|h| h.member.last_start);
@@ -266,6 +269,12 @@
         self.waiting.insert(ask.id);
         self.pace.ask_span += ((self.now - self.pace.asked_at) as f64 - self.pace.ask_span) * WORK_STEP;
         self.pace.asked_at = self.now;
+        if self.openings.len() > KEPT_MOST {
+            self.openings.clear();
+        }
+        for key in [Some(None), ask.prefix.map(Some)].into_iter().flatten() {
+            self.openings.entry(key).or_default().add(1.0, self.now, KEPT_FOR);
+        }
         self.pace.probes = (self.pace.probes + PROBES_AN_ASK).min(4.0 * PROBES_AN_ASK);
         self.out.push(Action::Sleep { at: self.last_call(&ask), key: KEY_REQUEST + u64::from(ask.id.0) });
         self.look(ask.id);
@@ -356,8 +365,7 @@
             self.end(id);
         } else {
             self.waiting.insert(id);
-            let wake = |at| Action::Sleep { at, key: KEY_REQUEST + u64::from(id.0) };
-            self.out.extend(until.map(wake));
+            self.out.extend(until.map(|at| Action::Sleep { at, key: KEY_REQUEST + u64::from(id.0) }));
             self.advance(id);
         }
     }
@@ -626,9 +634,8 @@
     fn warmth(&self, host: &Host) -> f64 {
         let warm_up = self.settings.warm_up.unwrap_or(WARM_UP).max(1) as f64;
         let start = self.settings.start_capacity.unwrap_or(START_CAPACITY).clamp(0.01, 1.0);
-        let part = |at: Micros| (self.now - at).max(0) as f64 / warm_up;
         let started = host.member.last_start.filter(|at| *at > 0);
-        started.map_or(1.0, |at| start + (1.0 - start) * part(at)).min(1.0)
+        started.map_or(1.0, |at| start + (1.0 - start) * (self.now - at).max(0) as f64 / warm_up).min(1.0)
     }
 
     /// The span between our sends to a cold server, the first drawn. Guards against many pushing it over.
@@ -644,9 +651,8 @@
     fn learn_rate(&mut self, stage: Stage) {
         let is_warm = |h: &&Host| h.listed && self.stage(h) == stage && self.warmth(h) >= 1.0;
         let warm = self.hosts.values().filter(is_warm).count().max(1) as f64;
-        let (carried, at) = self.carried[stage as usize];
-        let seen = (CARRIED_FOR * (1.0 - faded(self.now - self.began))).max(CARRIED_LEAST);
-        self.rates[stage as usize] = carried * faded(self.now - at) / seen / warm;
+        let seen = seen(self.now - self.began, CARRIED_FOR).max(CARRIED_LEAST);
+        self.rates[stage as usize] = self.carried[stage as usize].at(self.now, CARRIED_FOR) / seen / warm;
     }
 
     fn balancers(&self) -> f64 {
@@ -744,8 +750,7 @@
         }
         let work = self.class_work(stage, ask.class, work);
         if self.hosts.get(&sent.host).is_some_and(|h| self.warmth(h) >= 1.0) {
-            let (carried, at) = self.carried[stage as usize];
-            self.carried[stage as usize] = (carried * faded(self.now - at) + work, self.now);
+            self.carried[stage as usize].add(work, self.now, CARRIED_FOR);
         }
     }
 
@@ -938,7 +943,8 @@
         known.max(if home == Some(reader) { HOME_KEPT } else { 0.0 })
     }
 
-    /// The home of a session unknown here, on which a zone's dispatchers agree: rendezvous hashing.
+    /// The home of a session unknown here, on which a zone's dispatchers agree: rendezvous hashing. Openings
+    /// have few homes, more the more they are asked for: guards against reads of them at each reader.
     fn home(&self, ask: &Ask, fleet: &Fleet) -> Option<HostId> {
         let session = ask.session?;
         let [[late, elsewhere], kinds] = self.pace.late;
@@ -956,14 +962,20 @@
             let whole = self.stage(h) != Stage::Read;
             let weight =
                 if whole { HOME_WHOLE } else { writers / readers } * (1.0 - kinds[usize::from(whole)]);
-            let drawn = uniform(session.0 ^ mix(id.0)).ln() / (weight * self.warmth(h));
-            ((away || near(h), drawn), *id)
+            let drawn = |key: u64| uniform(key ^ mix(id.0)).ln() / (weight * self.warmth(h));
+            (away || near(h), drawn(ask.prefix.map_or(0, |p| mix(p.0))), drawn(session.0), *id)
         };
         let open = self.hosts.iter().filter(|(id, h)| self.open(**id, true) && self.stage(h) != Stage::Write);
         if open.clone().any(|(_, h)| known(h)) {
             return None;
         }
-        open.map(draw).max_by(|(a, _), (b, _)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(_, id)| id)
+        let mut drawn: Vec<_> = open.map(draw).collect();
+        drawn.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)));
+        let near = drawn.iter().filter(|d| d.0 == drawn[0].0).count();
+        let asked = |key| self.openings.get(&key).map_or(0.0, |o| o.at(self.now, KEPT_FOR) - 1.0); // others
+        let share = ask.prefix.map_or(1.0, |p| asked(Some(p)).max(0.0) / asked(None).max(SHARES_LEAST));
+        let homes = ((HOMES * share * near as f64) as usize).clamp(1, near.max(1));
+        drawn.iter().take(homes).max_by(|a, b| a.2.total_cmp(&b.2)).map(|home| home.3)
     }
 }
 
@@ -1032,7 +1044,7 @@
     lanes.iter().max_by(|a, b| rank(&a.0, &b.0)).map(|(reader, writer)| (reader.host, *writer))
 }
 
-fn rank(a: &Half, b: &Half) -> Ordering {
+fn rank(a: &Half, b: &Half) -> std::cmp::Ordering {
     a.worth.total_cmp(&b.worth).then(a.dice.cmp(&b.dice))
 }
 
@@ -1042,22 +1054,6 @@
     fit.or_else(|| (1..3).find_map(|level| pick(rs, ws, level, false)))
 }
 
-/// What is left of a picture of what servers carry after this span.
-fn faded(span: Micros) -> f64 {
-    (-(span as f64) / CARRIED_FOR).exp()
-}
-
-/// A number above 0 and below 1, spread evenly over `x`.
-fn uniform(x: u64) -> f64 {
-    ((mix(x) >> 11) as f64 + 0.5) / (1_u64 << 53) as f64
-}
-
-fn mix(x: u64) -> u64 {
-    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
 impl Limit {
     /// Less after a late answer to something sent since the last cut; more after a quick one near the limit.
     fn learn(&mut self, now: Micros, sent: Micros, held: f64, late: bool, most: f64) {
