Round the homes of openings to the nearest number, from shares of 45 requests

At fault, src/policy.rs, home: the number of homes was cut to a whole one. With four readers in reach an opening with a fifth of all requests got one home where 1.6 are wanted, and filled it.

Change: the nearest number. So that one request seen among a few still gives one home with thirty readers, a share is taken of 45 requests at least (40 before).

The new test fails with the old line (one reader for two).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -27,7 +27,7 @@
 const HOME_KEPT: f64 = 0.9; // share of a prompt that its home is taken to keep: half are later turns
 const HOME_WHOLE: f64 = 0.6; // weight as a home of a server that does both, where a writer's is 1
 const HOMES: f64 = 2.0; // homes of an opening for each reader that its share of requests would fill
-const SHARES_LEAST: f64 = 40.0; // requests of which that share is taken at least: one of a few tells little
+const SHARES_LEAST: f64 = 45.0; // requests of which that share is taken at least: one of a few tells little
 const REFUSED_FOR: Micros = 1_000_000; // span for which a writer that refused a place counts as full (us)
 const PLACES_MOST: u32 = 3; // places asked for in a read
 const KEPT_MOST: usize = 2_000; // most kept shares remembered for a server
@@ -975,7 +975,7 @@
         let near = drawn.iter().filter(|d| d.0 == drawn[0].0).count();
         let asked = |key| self.openings.get(&key).map_or(0.0, |o| o.at(self.now, KEPT_FOR) - 1.0); // others
         let share = ask.prefix.map_or(1.0, |p| asked(Some(p)).max(0.0) / asked(None).max(SHARES_LEAST));
-        let homes = ((HOMES * share * near as f64) as usize).clamp(1, near.max(1));
+        let homes = ((HOMES * share * near as f64).round() as usize).clamp(1, near.max(1));
         drawn.iter().take(homes).max_by(|a, b| a.2.total_cmp(&b.2)).map(|home| home.3)
     }
 }
--- a/tests/openings.rs
+++ b/tests/openings.rs
@@ -23,7 +23,11 @@
 
 impl Fleet {
     fn new(dispatchers: u32) -> Fleet {
-        let readers = (1..=READERS).map(|host| member(host, 0, 0));
+        Fleet::with(dispatchers, READERS)
+    }
+
+    fn with(dispatchers: u32, readers: u64) -> Fleet {
+        let readers = (1..=readers).map(|host| member(host, 0, 0));
         let members: Vec<Member> = readers.chain([member(100, 1, 0)]).collect();
         let front = |me: u32| {
             let settings = Settings { balancers: Some(dispatchers), me: Some(me), ..settings(Effect::Safe) };
@@ -105,6 +109,17 @@
     assert!(most < 3 * 300 / READERS as u32, "{most} of 300 requests at one reader");
 }
 
+/// Guards against one home where two are nearer to an opening's share: with few readers that is a good part of them.
+#[test]
+fn an_opening_has_as_many_homes_as_are_nearest_to_its_share_of_few_readers() {
+    let mut fleet = Fleet::with(1, 4);
+    for turn in 0..400 {
+        // A share of 0.2 of 4 readers is 0.8 of one; twice that many homes are 1.6.
+        fleet.ask(if turn % 5 == 0 { 0 } else { 1 + turn });
+    }
+    assert_eq!(fleet.readers_of(0), 2);
+}
+
 /// Guards against homes that leave readers idle, also where more openings come than are counted.
 #[test]
 fn openings_that_are_asked_for_once_are_spread_evenly() {
