Pass a client's own headers on: servers discard repeats by one that the router did not know

Lines at fault: upstream::begin built each request from five headers of its own and dropped all others of the client. Change: front/headers.rs says which headers pass: all but those of the connection (RFC 9110, 7.6.1) and the two that an attempt sets. The second front passes an Idempotency-Key of a chat; a batch is cut into slices, each a request of its own, and passes none.

--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use tokio::sync::{mpsc, oneshot};
 
 /// Parts that may wait between the two sides: a client that reads slowly slows its server.
@@ -19,6 +20,8 @@
     pub target: String,
     /// The media type of the body.
     pub media_type: String,
+    /// Further headers that are the server's to read, as the client sent them.
+    pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
 }
--- a/router/src/front/inference/mod.rs
+++ b/router/src/front/inference/mod.rs
@@ -23,9 +23,9 @@
 use cranetack_inference::{
     join, ApiError, Batch, Catalogue, Chat, Endpoint, Fold, Form, Kind, Part, Resolved,
 };
-use http::header::{ALLOW, CONNECTION, CONTENT_TYPE};
+use http::header::{HeaderName, ALLOW, CONNECTION, CONTENT_TYPE};
 use http::request::Parts as Head;
-use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -41,6 +41,8 @@
 
 pub use setup::{Batches, Limits, Named, Served, Setup};
 
+/// By which a server discards repeats of a request.
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 const CHAT: &str = "/v1/chat/completions";
 const EMBEDDINGS: &str = "/v1/embeddings";
 const RERANK: &str = "/v1/rerank";
@@ -164,6 +166,8 @@
     tenant: Option<Rc<str>>,
     session: Option<String>,
     query: String,
+    /// By which servers discard repeats, where the client gave one.
+    idempotency_key: Option<HeaderValue>,
     due: Instant,
 }
 
@@ -275,6 +279,7 @@
             tenant,
             session,
             query: head.uri.query().map_or(String::new(), |query| format!("?{query}")),
+            idempotency_key: head.headers.get(IDEMPOTENCY_KEY).cloned(),
             due: Instant::now() + patience,
         })
     }
@@ -357,8 +362,9 @@
             return Err(Failure::Body(BodyError::NoRoom));
         }
         let name = order.name.name.clone();
-        let mut asked =
-            self.asked(&order, name.clone(), model, chat.prompt_tokens, message(CHAT, &order.query, sent));
+        let mut message = message(CHAT, &order.query, sent);
+        message.headers.extend(order.idempotency_key.clone().map(|key| (IDEMPOTENCY_KEY, key)));
+        let mut asked = self.asked(&order, name.clone(), model, chat.prompt_tokens, message);
         asked.max_tokens = chat.max_tokens.unwrap_or(0);
         asked.session = asked.session.or(chat.user.as_ref().map(|user| order.own_session(user)));
         let (answer, gone) = self.handle.ask(asked).answer().await;
@@ -541,7 +547,8 @@
 }
 
 fn message(target: &str, query: &str, body: Bytes) -> Message {
-    Message { target: format!("{target}{query}"), media_type: "application/json".to_owned(), body }
+    let media_type = "application/json".to_owned();
+    Message { target: format!("{target}{query}"), media_type, headers: HeaderMap::new(), body }
 }
 
 fn header<'a>(head: &'a Head, name: &'static str) -> Result<Option<&'a str>, Failure> {
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -3,6 +3,7 @@
 
 mod account;
 mod body;
+mod headers;
 pub mod inference;
 pub mod platform;
 mod seat;
--- a/router/src/front/platform.rs
+++ b/router/src/front/platform.rs
@@ -11,6 +11,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 
 use super::account::Account;
+use super::headers::end_to_end;
 use super::{is_word, retry_after, streamed, AnswerBody, Arriving, BodyError, Front, Readiness};
 use crate::core::{Asked, Handle};
 use crate::exchange::{Answer, Message};
@@ -138,7 +139,7 @@
         retry: retry.is_some(),
         came_back: retry == Some("again"),
         kinds: None,
-        message: Rc::new(Message { target, media_type, body }),
+        message: Rc::new(Message { target, media_type, headers: end_to_end(headers), body }),
     };
     for pair in header(headers, "X-Extras")?.unwrap_or("").split(',') {
         let Some((key, value)) = pair.trim().split_once('=') else { continue };
--- a/router/src/upstream/mod.rs
+++ b/router/src/upstream/mod.rs
@@ -296,7 +296,8 @@
             .header("x-deadline-ms", left.to_string())
             .header("content-type", order.message.media_type.as_str())
             .body(order.message.body.clone());
-        let Ok(request) = request else { return Begun::Ended(Outcome::Nop.into()) };
+        let Ok(mut request) = request else { return Begun::Ended(Outcome::Nop.into()) };
+        request.headers_mut().extend(order.message.headers.clone());
         let meter = link.meter().clone();
         let told = async {
             meter.wait_all_out().await;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,10 +5,12 @@
 
 mod client;
 mod discovery;
+mod manual;
 mod worker;
 
 pub use client::{Client, Raw};
 pub use discovery::{line, line_at, Discovery};
+pub use manual::{chunk, End, ManualConnection, ManualServer, LAST_CHUNK, READ, STREAM_HEAD};
 pub use worker::{scripted, Behaviour, Reply, Seen, Spoils, Worker, DONE, EVENT, FINISH};
 
 use std::future::Future;
--- /dev/null
+++ b/standins/src/manual.rs
@@ -0,0 +1,137 @@
+//! A server whose connections a test drives by hand: each step happens when the test says so, so that a rare order
+//! of events happens every time.
+
+use std::net::SocketAddr;
+
+use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::discovery::line_at;
+
+/// The head of an answer that streams events.
+pub const STREAM_HEAD: &str =
+    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+/// The end of a chunked body.
+pub const LAST_CHUNK: &str = "0\r\n\r\n";
+/// A reader's answer: the prompt has been read.
+pub const READ: &str = "HTTP/1.1 202 Accepted\r\ncontent-length: 19\r\n\r\n{\"cached_tokens\":0}";
+
+/// A chunk of a chunked body.
+pub fn chunk(data: &str) -> String {
+    format!("{:x}\r\n{data}\r\n", data.len())
+}
+
+/// A server that does nothing by itself.
+pub struct ManualServer {
+    pub address: SocketAddr,
+    listener: TcpListener,
+}
+
+impl ManualServer {
+    pub async fn start() -> ManualServer {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        ManualServer { address: listener.local_addr().unwrap(), listener }
+    }
+
+    /// Its line of the list.
+    pub fn line(&self, kind: &str, status: &str) -> Value {
+        line_at(self.address, kind, status)
+    }
+
+    /// The next connection.
+    pub async fn accept(&self) -> ManualConnection {
+        let (stream, _) = self.listener.accept().await.unwrap();
+        stream.set_nodelay(true).unwrap();
+        ManualConnection { stream, received: Vec::new() }
+    }
+
+    /// The next connection and the first request on it.
+    pub async fn accept_request(&self) -> (ManualConnection, String) {
+        let mut connection = self.accept().await;
+        let request = connection.request().await;
+        (connection, request)
+    }
+}
+
+/// How the other side ended a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// In order, after all that it sent.
+    Closed,
+    /// By a reset.
+    Reset,
+}
+
+/// One connection.
+pub struct ManualConnection {
+    stream: TcpStream,
+    received: Vec<u8>,
+}
+
+impl ManualConnection {
+    /// Connects to a router.
+    pub async fn connect(address: SocketAddr) -> ManualConnection {
+        let stream = TcpStream::connect(address).await.unwrap();
+        stream.set_nodelay(true).unwrap();
+        ManualConnection { stream, received: Vec::new() }
+    }
+
+    /// The next whole request, its head and its body.
+    pub async fn request(&mut self) -> String {
+        loop {
+            if let Some(length) = message_length(&self.received) {
+                let request: Vec<u8> = self.received.drain(..length).collect();
+                return String::from_utf8(request).unwrap();
+            }
+            let read = self.stream.read_buf(&mut self.received).await.unwrap();
+            assert!(read > 0, "the connection ended before a whole request");
+        }
+    }
+
+    pub async fn send(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).await.unwrap();
+    }
+
+    /// Reads until `text` has come; returns what came up to its end.
+    pub async fn until(&mut self, text: &str) -> String {
+        loop {
+            let here = String::from_utf8_lossy(&self.received).into_owned();
+            if let Some(at) = here.find(text) {
+                self.received.drain(..at + text.len());
+                return here[..at + text.len()].to_owned();
+            }
+            let read = self.stream.read_buf(&mut self.received).await.unwrap();
+            assert!(read > 0, "the connection ended before {text:?}: {here:?}");
+        }
+    }
+
+    /// Reads to the end: what was still said, and how the connection ended.
+    pub async fn end(&mut self) -> (String, End) {
+        loop {
+            match self.stream.read_buf(&mut self.received).await {
+                Ok(0) => return (self.take_received(), End::Closed),
+                Ok(_) => {}
+                Err(_) => return (self.take_received(), End::Reset),
+            }
+        }
+    }
+
+    fn take_received(&mut self) -> String {
+        String::from_utf8_lossy(&std::mem::take(&mut self.received)).into_owned()
+    }
+
+    /// Ends the connection by a reset.
+    pub fn reset(self) {
+        self.stream.set_zero_linger().unwrap();
+    }
+}
+
+/// How long the first message is, once all of it is here.
+fn message_length(bytes: &[u8]) -> Option<usize> {
+    let head = bytes.windows(4).position(|four| four == b"\r\n\r\n")? + 4;
+    let text = String::from_utf8_lossy(&bytes[..head]).to_ascii_lowercase();
+    let body = text.split("content-length: ").nth(1).and_then(|rest| rest.lines().next());
+    let length = head + body.map_or(0, |length| length.parse().unwrap());
+    (bytes.len() >= length).then_some(length)
+}
