Name the parts of clients' connections by the field's terms, in two files

A rename and a move, no change of behaviour: Seats, Seat, Desk, Open, Known, Ahead, Watched and Waits become ConnectionLimiter, ClientConnection, RequestTracker, RequestGuard, ConnectionState, ReadAhead, TrackedStream and ClientTimeouts; front/seat.rs becomes front/connections.rs and front/client_stream.rs.

--- /dev/null
+++ b/router/src/front/client_stream.rs
@@ -0,0 +1,115 @@
+//! A client's stream, with what passes noted, and read on while its request is being answered.
+
+use std::cell::RefCell;
+use std::future::poll_fn;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+
+use bytes::{Buf, BytesMut};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use super::connections::{Activity, ConnectionState};
+
+/// The most that is read of a connection while a request on it is being answered, to see whether its client leaves.
+const READ_AHEAD_LIMIT: usize = 16 * 1024;
+/// What is read at once.
+const READ_AHEAD_PIECE: usize = 2 * 1024;
+
+/// Reads ahead while a request is being answered, so that a client which leaves is noticed. Guards against a close that
+/// stands behind bytes which nobody reads until the answer is out: the library stops reading once it has any.
+pub struct ReadAhead {
+    stream: Rc<RefCell<TcpStream>>,
+    state: Rc<ConnectionState>,
+}
+
+impl ReadAhead {
+    pub(super) fn new(stream: Rc<RefCell<TcpStream>>, state: Rc<ConnectionState>) -> ReadAhead {
+        ReadAhead { stream, state }
+    }
+
+    /// Waits until the client has left while a request of it is being answered. Must be polled in the task that reads
+    /// the stream, and after that: whoever polls last is woken.
+    pub async fn client_left(&self) {
+        poll_fn(|cx| self.poll_client_left(cx)).await;
+    }
+
+    fn poll_client_left(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut piece = [0; READ_AHEAD_PIECE];
+        while self.may_read_on() {
+            let mut read = ReadBuf::new(&mut piece);
+            let failed = ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, &mut read)).is_err();
+            if failed || read.filled().is_empty() {
+                return Poll::Ready(());
+            }
+            self.state.read_ahead.borrow_mut().extend_from_slice(read.filled());
+            cx.waker().wake_by_ref(); // whoever waits for it has been polled already
+        }
+        Poll::Pending
+    }
+
+    fn may_read_on(&self) -> bool {
+        let answering = matches!(self.state.activity.get(), Activity::Answering);
+        answering && self.state.read_ahead.borrow().len() < READ_AHEAD_LIMIT
+    }
+}
+
+/// A client's stream, with a look at what passes.
+pub struct TrackedStream {
+    stream: Rc<RefCell<TcpStream>>,
+    state: Rc<ConnectionState>,
+}
+
+impl TrackedStream {
+    pub(super) fn new(stream: Rc<RefCell<TcpStream>>, state: Rc<ConnectionState>) -> TrackedStream {
+        TrackedStream { stream, state }
+    }
+
+    /// Gives what was read ahead first, then what the stream has.
+    fn poll_next_bytes(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let mut read_ahead = self.state.read_ahead.borrow_mut();
+        if read_ahead.is_empty() {
+            return Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf);
+        }
+        let length = read_ahead.len().min(buf.remaining());
+        buf.put_slice(&read_ahead[..length]);
+        read_ahead.advance(length);
+        if read_ahead.is_empty() {
+            *read_ahead = BytesMut::new(); // idle connections hold no buffer
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncRead for TrackedStream {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = self.poll_next_bytes(cx, buf);
+        let mut framing = self.state.framing.borrow_mut();
+        framing.take(&buf.filled()[before..]);
+        if matches!(self.state.activity.get(), Activity::Idle(_)) && !framing.is_between() {
+            self.state.activity.set(Activity::Receiving(Instant::now()));
+        }
+        read
+    }
+}
+
+impl AsyncWrite for TrackedStream {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, buf);
+        let blocked_since = self.state.blocked_since.get().unwrap_or_else(Instant::now);
+        self.state.blocked_since.set(written.is_pending().then_some(blocked_since));
+        written
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
+    }
+}
--- a/router/src/front/inference/mod.rs
+++ b/router/src/front/inference/mod.rs
@@ -30,7 +30,7 @@
 use tokio::time::Instant;
 
 use super::account::{Account, Claim};
-use super::{is_word, retry_after, streamed, AnswerBody, Arriving, BodyError, Front, Waits};
+use super::{is_word, retry_after, streamed, AnswerBody, Arriving, BodyError, ClientTimeouts, Front};
 use crate::core::{Asked, Handle};
 use crate::exchange::{Answer, Broken, Message, Parts};
 use crate::shutdown::Phase;
@@ -573,9 +573,9 @@
 }
 
 impl Front for Inference {
-    fn waits(&self) -> Waits {
+    fn timeouts(&self) -> ClientTimeouts {
         let limits = &self.0.setup.limits;
-        Waits { request: limits.body_wait(), unread: limits.read_wait() }
+        ClientTimeouts { request: limits.body_wait(), unread: limits.read_wait() }
     }
 
     async fn answer(self, request: Request<Arriving>) -> Response<AnswerBody> {
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -3,10 +3,11 @@
 
 mod account;
 mod body;
+mod client_stream;
+mod connections;
 mod headers;
 pub mod inference;
 pub mod platform;
-mod seat;
 
 use std::convert::Infallible;
 use std::future::Future;
@@ -31,21 +32,21 @@
 use crate::exchange::{Broken, Gone, Parts};
 use crate::shutdown::Phase;
 pub use body::{Arriving, BodyError};
-pub use seat::Waits;
-use seat::{Desk, Open, Seat, Seats};
+pub use connections::ClientTimeouts;
+use connections::{ClientConnection, ConnectionLimiter, RequestGuard, RequestTracker};
 
 /// The most that is read ahead on a connection, and so the longest head of a request. A kept connection goes on
 /// holding as much as its last body made it read at once: memory would grow with those that ask once and stay.
 const BUFFER_MOST: usize = 16 * 1024;
-/// Between two looks for connections that are due.
-const SWEEP_EVERY: Duration = Duration::from_millis(100);
+/// The interval between two looks for connections whose time is up.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
 /// After a failure to accept: descriptors may be short for a while.
-const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// The body of an answer, which holds its request open.
 pub struct Answering {
     body: AnswerBody,
-    _open: Open,
+    _guard: RequestGuard,
 }
 
 impl Body for Answering {
@@ -176,8 +177,8 @@
 /// A front: what becomes of one request.
 pub trait Front: Clone + 'static {
     /// How long its clients may take.
-    fn waits(&self) -> Waits {
-        Waits::default()
+    fn timeouts(&self) -> ClientTimeouts {
+        ClientTimeouts::default()
     }
 
     /// Answers a request.
@@ -189,7 +190,7 @@
 struct Serving<F> {
     front: F,
     phase: watch::Receiver<Phase>,
-    desk: Desk,
+    requests: RequestTracker,
 }
 
 impl<F: Front> Service<Request<Incoming>> for Serving<F> {
@@ -202,18 +203,18 @@
     }
 
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
-        let Serving { front, phase, desk } = self.clone();
+        let Serving { front, phase, requests } = self.clone();
         Box::pin(async move {
-            let open = desk.open();
-            let (due, ambiguous) = (open.due(), desk.is_ambiguous());
+            let guard = requests.begin();
+            let (due, ambiguous) = (guard.body_deadline(), requests.is_ambiguous());
             let waits = request.headers().contains_key(EXPECT);
             let arriving = |body| Arriving { body, due, ambiguous, waits };
             let mut response = front.answer(request.map(arriving)).await;
             // A client that is told now asks elsewhere next, and its connection needs no closing later.
-            if *phase.borrow() >= Phase::Leaving || desk.is_last() {
+            if *phase.borrow() >= Phase::Leaving || requests.is_last() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok(response.map(|body| Answering { body, _open: open }))
+            Ok(response.map(|body| Answering { body, _guard: guard }))
         })
     }
 }
@@ -222,27 +223,28 @@
 pub async fn serve<F: Front>(
     listener: TcpListener, front: F, most: usize, mut phase: watch::Receiver<Phase>,
 ) {
-    let seats = Seats::new(most, front.waits());
+    let limiter = ConnectionLimiter::new(most, front.timeouts());
     let mut connections = tokio::task::JoinSet::new();
     let accepting = async {
         loop {
             let stream = tokio::select! {
                 biased;
                 _ = phase.wait_for(|p| *p >= Phase::Finishing) => break,
-                accepted = accept(&listener, &seats) => accepted,
+                accepted = accept(&listener, &limiter) => accepted,
             };
             while connections.try_join_next().is_some() {}
-            let (stream, seat) = stream;
-            let service = Serving { front: front.clone(), phase: phase.clone(), desk: seat.desk() };
-            connections.spawn_local(connection(stream, seat, service, phase.clone()));
+            let (stream, connection) = stream;
+            let requests = connection.requests();
+            let service = Serving { front: front.clone(), phase: phase.clone(), requests };
+            connections.spawn_local(serve_connection(stream, connection, service, phase.clone()));
         }
         drop(listener);
         while connections.join_next().await.is_some() {}
     };
     let sweeping = async {
         loop {
-            tokio::time::sleep(SWEEP_EVERY).await;
-            seats.sweep();
+            tokio::time::sleep(EXPIRY_INTERVAL).await;
+            limiter.close_expired();
         }
     };
     tokio::select! {
@@ -251,27 +253,27 @@
     }
 }
 
-/// The next connection, once there is a place for it: the rest wait in the system's queue. A failure, such
+/// The next connection, once there is a permit for it: the rest wait in the system's queue. A failure, such
 /// as descriptors running out, must not end the listening.
-async fn accept(listener: &TcpListener, seats: &Rc<Seats>) -> (TcpStream, Seat) {
-    let place = seats.place().await;
+async fn accept(listener: &TcpListener, limiter: &Rc<ConnectionLimiter>) -> (TcpStream, ClientConnection) {
+    let permit = limiter.acquire().await;
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => return (stream, seats.take(place)),
+            Ok((stream, _)) => return (stream, limiter.register(permit)),
             Err(error) => {
                 tracing::warn!(%error, "a connection could not be accepted");
-                tokio::time::sleep(ACCEPT_AGAIN).await;
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
 }
 
-async fn connection<F: Front>(
-    stream: TcpStream, seat: Seat, service: Serving<F>, mut phase: watch::Receiver<Phase>,
+async fn serve_connection<F: Front>(
+    stream: TcpStream, connection: ClientConnection, service: Serving<F>, mut phase: watch::Receiver<Phase>,
 ) {
     let _ = stream.set_nodelay(true);
-    let (stream, ahead) = seat.watch(stream);
-    // How long a client may take is the seat's affair.
+    let (stream, read_ahead) = connection.track(stream);
+    // How long a client may take is the limiter's affair.
     let served = http1::Builder::new()
         .header_read_timeout(None)
         .max_buf_size(BUFFER_MOST)
@@ -288,9 +290,9 @@
     // A connection that is to be closed reads nothing more: what it would take now would be lost.
     let ended = tokio::select! {
         biased;
-        () = seat.closed() => return,
+        () = connection.close_requested() => return,
         ended = ended => ended,
-        () = ahead.left() => return tracing::debug!("a client has left before its answer was out"),
+        () = read_ahead.client_left() => return tracing::debug!("a client has left before its answer was out"),
     };
     if let Err(error) = ended {
         tracing::debug!(%error, "a client's connection ended");
