Name the connections to servers by the field's terms, in files of their own

A rename and a move, no change of behaviour: Links, Link, Meter, Metered, Written::.. and NoLink become ConnectionPool, PooledConnection, WireProgress, ObservedStream and ConnectError; upstream/link.rs becomes pool.rs and progress.rs, its tests pool/tests.rs and progress/tests.rs.

--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -169,7 +169,7 @@
         let each = (config.limits.sockets - SPARE) / 2;
         let allowed = &config.facts.allowed;
         let options = upstream::Options {
-            most_links: each,
+            connection_limit: each,
             connect_timeout: allowed.connect_timeout().unwrap_or(CONNECT_TIMEOUT),
             idle_close: allowed.idle_close().unwrap_or(IDLE_CLOSE),
             silence: if config.settings.resume { SILENCE_RESUMED } else { SILENCE },
--- a/router/src/upstream/mod.rs
+++ b/router/src/upstream/mod.rs
@@ -1,8 +1,9 @@
 //! The client side: attempts, probes, and places held at workers, over connections that it owns.
 
-mod link;
 #[cfg(test)]
 mod model;
+mod pool;
+mod progress;
 mod reply;
 
 use std::cell::RefCell;
@@ -23,7 +24,8 @@
 use crate::core::{AttemptId, Ended, Handle, Happening, Host, Order, Outbound, Place};
 use crate::exchange::{self, Sink};
 use crate::peers::Peers;
-use link::{Link, Links, Meter};
+use pool::{ConnectionPool, PooledConnection};
+use progress::WireProgress;
 use reply::{Reply, Tail};
 
 /// The media type of a stream of events.
@@ -38,14 +40,14 @@
 const RELEASE_WAIT: Duration = Duration::from_millis(120);
 /// ... and how long this is tried for.
 const RELEASE_FOR: Duration = Duration::from_secs(10);
-/// Between two looks for connections to retire.
-const RETIRE_EVERY: Duration = Duration::from_millis(500);
+/// The interval between two looks for connections whose time is up.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Timings and sizes of the client side.
 #[derive(Clone)]
 pub struct Options {
     /// Connections to all workers together.
-    pub most_links: usize,
+    pub connection_limit: usize,
     /// How long a connection may take to come up.
     pub connect_timeout: Duration,
     /// When workers close an idle connection.
@@ -65,7 +67,7 @@
 
 struct Shared {
     handle: Handle,
-    links: Links,
+    pool: ConnectionPool,
     options: Options,
 }
 
@@ -81,14 +83,14 @@
 impl Upstream {
     /// A client side that reports to this handle. Must be called within a `LocalSet`.
     pub fn new(handle: Handle, options: Options, peers: Option<Peers>) -> Upstream {
-        let links = Links::new(options.most_links, options.connect_timeout, options.idle_close);
-        let shared = Rc::new(Shared { handle, links, options });
+        let pool = ConnectionPool::new(options.connection_limit, options.connect_timeout, options.idle_close);
+        let shared = Rc::new(Shared { handle, pool, options });
         let weak = Rc::downgrade(&shared);
         tokio::task::spawn_local(async move {
             while let Some(shared) = weak.upgrade() {
-                shared.links.retire();
+                shared.pool.close_expired();
                 drop(shared);
-                tokio::time::sleep(RETIRE_EVERY).await;
+                tokio::time::sleep(EXPIRY_INTERVAL).await;
             }
         });
         Upstream { shared, running: Running::default(), peers }
@@ -150,7 +152,7 @@
     }
 
     fn close_idle(&mut self, host: HostId) {
-        self.shared.links.close_idle(host);
+        self.shared.pool.close_idle(host);
     }
 
     fn publish(&mut self, to: Option<u32>, bytes: Vec<u8>) {
@@ -207,35 +209,35 @@
         };
         // Whatever has not been given back is closed before the end is told: what is sent next must find
         // this attempt gone. And what was never written whole has never run.
-        if let Some(link) = slot {
+        if let Some(connection) = slot {
             let ended = report.ended.outcome;
-            let (idle, all_out) = (link.idle(), link.meter().all_out());
-            tracing::debug!(id = %self.order.name, ?ended, ?idle, all_out, "a connection is given up");
-            if matches!(ended, Outcome::Late | Outcome::Reset) && !all_out {
+            let (idle, all_written) = (connection.idle(), connection.progress().all_written());
+            tracing::debug!(id = %self.order.name, ?ended, ?idle, all_written, "a connection is given up");
+            if matches!(ended, Outcome::Late | Outcome::Reset) && !all_written {
                 report.ended = Outcome::NoConn.into();
-            } else if ended == Outcome::Reset && link.was_dropped() {
+            } else if ended == Outcome::Reset && connection.was_dropped() {
                 report.ended.info = 1;
             }
-            link.close().await;
+            connection.close().await;
         }
     }
 
     async fn stream(
-        &mut self, mut body: Incoming, first: Bytes, media_type: String, slot: &mut Option<Link>,
+        &mut self, mut body: Incoming, first: Bytes, media_type: String, slot: &mut Option<PooledConnection>,
     ) -> Ended {
         let (sink, parts) = exchange::stream();
         let attempt = self.order.attempt;
         self.shared.handle.tell(Happening::Established { attempt, media_type, parts });
-        let meter = slot.as_ref().map(|link| link.meter().clone());
+        let progress = slot.as_ref().map(|connection| connection.progress().clone());
         let pumped = tokio::select! {
-            () = stalled(meter) => Err(Outcome::Reset),
+            () = stalled(progress) => Err(Outcome::Reset),
             pumped = pump(&mut body, first, sink, self.shared.options.silence) => pumped,
             Ok(()) = &mut self.broken_off => Err(Outcome::Cancelled),
         };
         match pumped {
             Ok(tail) => {
-                if let Some(link) = slot.take() {
-                    self.shared.links.put(link).await;
+                if let Some(connection) = slot.take() {
+                    self.shared.pool.release(connection).await;
                 }
                 tail.ended(&self.shared.options.report)
             }
@@ -271,22 +273,22 @@
 /// Sends the request and waits for the beginning of its answer, or its end. The connection stays in `slot`
 /// unless it has been given back.
 async fn begin(
-    shared: &Shared, order: &Order, written: &watch::Sender<bool>, slot: &mut Option<Link>,
+    shared: &Shared, order: &Order, written: &watch::Sender<bool>, slot: &mut Option<PooledConnection>,
 ) -> Begun {
     let none = || Begun::Ended(Outcome::NoConn.into());
     let answer = loop {
         // Workers drop kept connections unseen, and a request that is under way then may have run.
-        let link = match order.delicate {
-            true => shared.links.open(&order.host, order.up_by).await,
-            false => shared.links.take(&order.host, order.up_by).await,
+        let connection = match order.delicate {
+            true => shared.pool.connect(&order.host, order.up_by).await,
+            false => shared.pool.acquire(&order.host, order.up_by).await,
         };
-        let Ok(link) = link else { return none() };
+        let Ok(connection) = connection else { return none() };
         // A connection may have taken its time: what drains by now is sent nothing more.
         if !order.host.is_open() {
-            shared.links.put(link).await;
+            shared.pool.release(connection).await;
             return none();
         }
-        let link = slot.insert(link);
+        let connection = slot.insert(connection);
         let left = order.expire.saturating_duration_since(Instant::now()).as_millis();
         let request = Request::builder()
             .method(Method::POST)
@@ -298,44 +300,44 @@
             .body(order.message.body.clone());
         let Ok(mut request) = request else { return Begun::Ended(Outcome::Nop.into()) };
         request.headers_mut().extend(order.message.headers.clone());
-        let meter = link.meter().clone();
+        let progress = connection.progress().clone();
         let told = async {
-            meter.wait_all_out().await;
+            progress.wait_all_written().await;
             written.send_replace(true);
             std::future::pending::<()>().await;
         };
         let answer = tokio::select! {
-            answer = link.send(request) => answer,
-            () = meter.stalled() => return Begun::Ended(Outcome::Reset.into()),
+            answer = connection.send(request) => answer,
+            () = progress.stalled() => return Begun::Ended(Outcome::Reset.into()),
             () = told => return none(),
         };
         match answer {
             Ok(answer) => break answer,
-            Err(_) if slot.as_ref().is_some_and(Link::was_stale) => {
+            Err(_) if slot.as_ref().is_some_and(PooledConnection::was_stale) => {
                 // Closed while it was kept: nothing of the request is out, so this is no second copy.
-                if let Some(link) = slot.take() {
-                    link.close().await;
+                if let Some(connection) = slot.take() {
+                    connection.close().await;
                 }
             }
             Err(_) => return Begun::Ended(Outcome::Reset.into()),
         }
     };
-    let meter = slot.as_ref().map(|link| link.meter().clone());
+    let progress = slot.as_ref().map(|connection| connection.progress().clone());
     tokio::select! {
         begun = answered(shared, answer, slot) => begun,
-        () = stalled(meter) => Begun::Ended(Outcome::Reset.into()),
+        () = stalled(progress) => Begun::Ended(Outcome::Reset.into()),
     }
 }
 
 /// Waits until the answer that comes over a connection does not go on.
-async fn stalled(meter: Option<Rc<Meter>>) {
-    match meter {
-        Some(meter) => meter.stalled().await,
+async fn stalled(progress: Option<Rc<WireProgress>>) {
+    match progress {
+        Some(progress) => progress.stalled().await,
         None => std::future::pending().await,
     }
 }
 
-async fn answered(shared: &Shared, answer: Response<Incoming>, slot: &mut Option<Link>) -> Begun {
+async fn answered(shared: &Shared, answer: Response<Incoming>, slot: &mut Option<PooledConnection>) -> Begun {
     let (head, mut body) = answer.into_parts();
     let load = reply::load_of(&head.headers, &shared.options.report);
     let reply = Reply::decode(head.status, &head.headers);
@@ -348,8 +350,8 @@
         };
     }
     let Ok(text) = collect(body).await else { return Begun::Ended(Outcome::Reset.into()) };
-    if let Some(link) = slot.take() {
-        shared.links.put(link).await;
+    if let Some(connection) = slot.take() {
+        shared.pool.release(connection).await;
     }
     Begun::Ended(match reply {
         Reply::Ended(outcome, info) => Ended { outcome, info, load },
@@ -387,22 +389,22 @@
 impl Shared {
     /// Makes a short call and gives its connection back. `Err` says whether the call may have been heard.
     async fn call(
-        &self, link: Link, request: Request<Bytes>, until: Instant,
+        &self, connection: PooledConnection, request: Request<Bytes>, until: Instant,
     ) -> Result<(StatusCode, Bytes), bool> {
-        let mut link = link;
+        let mut connection = connection;
         let answer = timeout_at(until, async {
-            let answer = link.send(request).await.ok()?;
+            let answer = connection.send(request).await.ok()?;
             let status = answer.status();
             Some((status, collect(answer.into_body()).await.ok()?))
         });
         match answer.await.ok().flatten() {
             Some(answer) => {
-                self.links.put(link).await;
+                self.pool.release(connection).await;
                 Ok(answer)
             }
             None => {
-                let heard = link.meter().all_out();
-                link.close().await;
+                let heard = connection.progress().all_written();
+                connection.close().await;
                 Err(heard)
             }
         }
@@ -410,9 +412,9 @@
 
     async fn load(&self, host: &Host) -> Result<(StatusCode, String), Outcome> {
         let until = Instant::now() + self.options.connect_timeout;
-        let link = self.links.take(host, until).await.map_err(|_| Outcome::NoConn)?;
+        let connection = self.pool.acquire(host, until).await.map_err(|_| Outcome::NoConn)?;
         let request = call(Method::GET, "/metrics/load").ok_or(Outcome::Nop)?;
-        match self.call(link, request, until).await {
+        match self.call(connection, request, until).await {
             Ok((status, body)) => Ok((status, String::from_utf8_lossy(&body).into_owned())),
             Err(true) => Err(Outcome::Late),
             Err(false) => Err(Outcome::NoConn),
@@ -426,14 +428,14 @@
         let until = Instant::now() + self.options.connect_timeout;
         // The reading attempt's end drops the sender: then there is no read to hold a place for.
         let out = async { written.wait_for(|w| *w).await.is_ok() };
-        let (out, link) = tokio::join!(out, self.links.take(writer, until));
-        let link = link.ok()?;
+        let (out, connection) = tokio::join!(out, self.pool.acquire(writer, until));
+        let connection = connection.ok()?;
         if !out || written.has_changed().is_err() || !writer.is_open() {
-            self.links.put(link).await;
+            self.pool.release(connection).await;
             return None;
         }
         let request = call(Method::POST, &format!("/bootstrap/rooms/{name}"))?;
-        match self.call(link, request, Instant::now() + PLACE_WAIT).await {
+        match self.call(connection, request, Instant::now() + PLACE_WAIT).await {
             Ok((StatusCode::OK, _)) => Some(Place::Held),
             Ok((StatusCode::CONFLICT, _)) => Some(Place::Refused),
             Ok((StatusCode::NOT_FOUND, _)) | Err(false) => None,
@@ -449,13 +451,13 @@
             if until > give_up {
                 break;
             }
-            let Ok(link) = self.links.take(host, until).await else {
+            let Ok(connection) = self.pool.acquire(host, until).await else {
                 // Refused at once, perhaps by all: the next try waits a little.
                 tokio::time::sleep(Duration::from_millis(5)).await;
                 continue;
             };
             let Some(request) = call(Method::DELETE, &format!("/bootstrap/rooms/{name}")) else { return };
-            if self.call(link, request, until).await.is_ok() {
+            if self.call(connection, request, until).await.is_ok() {
                 return;
             }
         }
--- a/router/src/upstream/model.rs
+++ b/router/src/upstream/model.rs
@@ -8,7 +8,7 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use tokio::time::Instant;
 
-use super::link::{Link, Links};
+use super::pool::{ConnectionPool, PooledConnection};
 use super::{call, Options, Upstream};
 use crate::core::{AttemptId, Ended, Handle, Happening, Host, Order, Outbound};
 use cranetack::{Outcome, RequestId};
@@ -60,10 +60,10 @@
 }
 
 struct Pair {
-    links: Links,
+    pool: ConnectionPool,
     hosts: [Host; 2],
     workers: [Rc<Worker>; 2],
-    out: Vec<(Link, Known)>,
+    out: Vec<(PooledConnection, Known)>,
     idle: Vec<Known>,
 }
 
@@ -72,16 +72,24 @@
         match step {
             Step::Take(host) => self.take(host).await,
             Step::Call(n) if n < self.out.len() => {
-                let (link, known) = &mut self.out[n];
+                let (connection, known) = &mut self.out[n];
                 let request = call(http::Method::GET, "/metrics/load").unwrap();
-                let answer = link.send(request).await;
+                let answer = connection.send(request).await;
                 assert_eq!(answer.is_ok(), !known.cut);
-                assert_eq!(link.meter().all_out(), !known.cut, "what is closed is not written to");
-                assert_eq!(link.was_stale(), known.cut && known.kept, "only a kept one may be tried again");
+                assert_eq!(
+                    connection.progress().all_written(),
+                    !known.cut,
+                    "what is closed is not written to"
+                );
+                assert_eq!(
+                    connection.was_stale(),
+                    known.cut && known.kept,
+                    "only a kept one may be tried again"
+                );
             }
             Step::Put(n) if n < self.out.len() => {
-                let (link, known) = self.out.remove(n);
-                self.links.put(link).await;
+                let (connection, known) = self.out.remove(n);
+                self.pool.release(connection).await;
                 if !known.cut {
                     self.idle.push(Known { kept: true, since: Instant::now(), ..known });
                 }
@@ -94,20 +102,20 @@
             }
             Step::Wait(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
             Step::Retire => {
-                self.links.retire();
+                self.pool.close_expired();
                 self.idle.retain(Known::usable);
                 let hosts = [0, 1].map(|host| self.idle.iter().any(|k| k.host == host));
-                assert_eq!(self.links.known(), hosts.iter().filter(|known| **known).count());
+                assert_eq!(self.pool.known_servers(), hosts.iter().filter(|known| **known).count());
             }
             Step::CloseIdle(host) => {
-                self.links.close_idle(self.hosts[host].id);
+                self.pool.close_idle(self.hosts[host].id);
                 self.idle.retain(|k| k.host != host);
             }
             _ => {}
         }
         // What has been closed on one side is noticed on the other.
         tokio::time::sleep(Duration::from_millis(1)).await;
-        assert_eq!(self.links.free(), MOST - self.out.len() - self.idle.len());
+        assert_eq!(self.pool.available(), MOST - self.out.len() - self.idle.len());
     }
 
     async fn take(&mut self, host: usize) {
@@ -124,12 +132,12 @@
             self.idle.remove(0); // the one that has been idle for longest makes room
         }
         let until = Instant::now() + Duration::from_millis(100);
-        match self.links.take(&self.hosts[host], until).await {
-            Ok(link) => {
+        match self.pool.acquire(&self.hosts[host], until).await {
+            Ok(connection) => {
                 assert!(expected.is_some() || room, "no more than allowed");
-                assert_eq!(link.idle().is_some(), expected.is_some());
+                assert_eq!(connection.idle().is_some(), expected.is_some());
                 let new = Known { host, cut: false, kept: false, since: Instant::now() };
-                self.out.push((link, expected.unwrap_or(new)));
+                self.out.push((connection, expected.unwrap_or(new)));
             }
             Err(_) => assert!(expected.is_none() && !room),
         }
@@ -146,7 +154,7 @@
             let [a, b] =
                 [Worker::start(8, Behaviour::Answer).await, Worker::start(8, Behaviour::Answer).await];
             let mut pair = Pair {
-                links: Links::new(MOST, Duration::from_millis(250), 2 * KEEP),
+                pool: ConnectionPool::new(MOST, Duration::from_millis(250), 2 * KEEP),
                 hosts: [Host::new("a", a.address), Host::new("b", b.address)],
                 workers: [a, b],
                 out: Vec::new(),
@@ -168,7 +176,7 @@
         let worker = Worker::start(1, Behaviour::Answer).await;
         let (handle, mut happenings) = Handle::new();
         let options = Options {
-            most_links: 1,
+            connection_limit: 1,
             connect_timeout: Duration::from_millis(250),
             idle_close: KEEP,
             silence: KEEP,
@@ -177,7 +185,7 @@
         let mut upstream = Upstream::new(handle, options, None);
         let host = Rc::new(Host::new("a", worker.address));
         let (now, ms) = (Instant::now(), Duration::from_millis);
-        let _only = upstream.shared.links.open(&host, now + KEEP).await.unwrap();
+        let _only = upstream.shared.pool.connect(&host, now + KEEP).await.unwrap();
         let attempt = AttemptId { request: RequestId(1), number: 1 };
         let (expire, up_by) = (now + KEEP, now + ms(90));
         let (name, message) = ("q".into(), Rc::default());
--- /dev/null
+++ b/router/src/upstream/progress/tests.rs
@@ -0,0 +1,20 @@
+use super::*;
+
+/// Guards against an `unsafe` request that is sent twice: its last byte must be seen wherever writes split.
+#[test]
+fn the_last_byte_is_found_wherever_the_writes_are_split() {
+    let head = b"POST /x HTTP/1.1\r\nhost: a\r\n\r\r\n\r\n".as_slice();
+    for body in [b"".as_slice(), b"\r\n\r\n12345"] {
+        let all = [head, body].concat();
+        for split in 0..=all.len() {
+            let progress = WireProgress::default();
+            progress.begin_request(body.len());
+            assert!(progress.nothing_written());
+            progress.on_written(&all[..split]);
+            assert_eq!(progress.nothing_written(), split == 0);
+            assert_eq!(progress.all_written(), split == all.len(), "split at {split}");
+            progress.on_written(&all[split..]);
+            assert!(progress.all_written());
+        }
+    }
+}
