Keep every repeat of a keyed request, reads too, in its group and its window

Ruled out: a write outside the group or window (none was made), a second copy at the writer (its connection was reset). Lines at fault: policy.rs, send: only what was not a read was held to the group; choose_lane did not know of groups at all. Change: takes() leaves out servers outside the group, for reads, writes and places; Route says by when a repeat must be written (up_by), in place of 300 ms left for a connection, which is no bound where the settings allow a connection 300 ms. Tests: repeats.rs, both seen to fail without the change.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -385,7 +385,8 @@
         host: HostId,
         /// When to give the attempt up.
         expire: Micros,
-        /// By when a connection must be up: what is held for the request must not wait for one. 0 for no such limit.
+        /// By when a connection must be up, and the request written: neither what is held for it nor the end of the
+        /// window in which a repeat is discarded waits for one. 0 for no such limit.
         up_by: Micros,
     },
     /// Reserve a place for the request at a writer.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -73,7 +73,7 @@
 const MOVED_AT_ONCE: usize = 4; // streams moved at a look: each is read anew elsewhere
 const PASSED_BY: Micros = 250_000; // an attempt is lost if one sent so much later is answered (us) ...
 const MUTE_FOR: Micros = 1_500_000; // ... or if its server answers neither probes nor us for so long (us)
-const REPEAT_UP: Micros = 300_000; // from a repeat's send to its window's end: a connection takes time (us)
+const REPEAT_MARGIN: Micros = 100_000; // from a repeat's latest write to its window's end: it must arrive (us)
 const SUBSCRIBE_AGAIN: Micros = 500_000; // after a failed call for the list (us)
 
 const ANY_CLASS: ClassId = ClassId(usize::MAX);
@@ -478,7 +478,7 @@
         let whole = |h: &Host| h.listed && (self.settings.writers_read || self.stage(h) == Stage::Both);
         let last_read = request.state.is_none() && request.attempts + 1 == most;
         let spent = request.attempts >= most || (last_read && !self.hosts.values().any(whole));
-        if due || spent || !self.may_repeat(request, None) {
+        if due || spent || self.repeat_until(request, None).is_none() {
             self.give_up(id);
             return;
         }
@@ -496,8 +496,8 @@
     }
 
     fn send(&mut self, id: RequestId, to: HostId, stage: Stage, toward: Option<HostId>) -> bool {
-        let may = |r: &&Request| self.may_repeat(r, (stage != Stage::Read).then_some(to));
-        let Some(ask) = self.requests.get(&id).filter(may).map(|r| r.ask) else { return false };
+        let until = |r: &Request| Some((r.ask, self.repeat_until(r, Some(to))?));
+        let Some((ask, repeat_until)) = self.requests.get(&id).and_then(until) else { return false };
         let weight = if stage == Stage::Write { 0.0 } else { self.read_weight(&ask, to) };
         let part = self.class_work(stage, ask.class, 1.0) / self.class_work(stage, ANY_CLASS, 1.0);
         let Some(host) = self.hosts.get_mut(&to) else { return false };
@@ -507,7 +507,8 @@
         let pin = self.pin();
         let Some(request) = self.requests.get_mut(&id) else { return false };
         // Half of what is left, so that another server can be tried.
-        let up_by = request.state.map_or(0, |(_, since)| self.now + (since + pin - self.now) / 2);
+        let half_left = |since: Micros| self.now + (since + pin - self.now) / 2;
+        let up_by = request.state.map_or(repeat_until, |(_, since)| repeat_until.min(half_left(since)));
         let (attempt, sent, established, overdue) = (request.attempts, self.now, false, None);
         request.out = Some(Out { attempt, host: to, stage, sent, established, weight, toward, overdue });
         request.attempts += 1;
@@ -538,20 +539,21 @@
         self.hosts.get(&id).is_some_and(|h| h.listed && (self.warmth(h) >= 1.0 || due(h)))
     }
 
-    /// Whether it is open, of a kind that the request may go to, and not set aside for failures.
-    fn takes(&self, id: HostId, ask: &Ask, home: bool) -> bool {
+    /// Whether it is open, of a kind that the request may go to, not set aside, and in reach of a repeat.
+    fn takes(&self, id: HostId, request: &Request, home: bool) -> bool {
         let aside = |key| self.hosts[&id].fails.get(key).is_some_and(|(_, until)| self.now < *until);
-        let fits = ask.fits(self.hosts[&id].member.kind);
-        fits && self.open(id, home) && ![None, Some(ask.class)].iter().any(aside)
+        let fits = request.ask.fits(self.hosts[&id].member.kind);
+        let may_repeat = self.repeat_until(request, Some(id)).is_some();
+        fits && may_repeat && self.open(id, home) && ![None, Some(request.ask.class)].iter().any(aside)
     }
 
-    /// Whether another attempt (at `to`, where it could run) cannot repeat an effect.
-    fn may_repeat(&self, request: &Request, to: Option<HostId>) -> bool {
-        let Some((first, sent)) = request.ran else { return true };
+    /// By when another attempt (at `to`, a reader too) must be written so that it cannot repeat an effect, if any may.
+    fn repeat_until(&self, request: &Request, to: Option<HostId>) -> Option<Micros> {
+        let Some((first, sent)) = request.ran else { return Some(Micros::MAX) };
         let class = self.class(&request.ask);
         match class.map(|c| c.effect).unwrap_or_default() {
-            Effect::Safe => true,
-            Effect::Unsafe => false,
+            Effect::Safe => Some(Micros::MAX),
+            Effect::Unsafe => None,
             Effect::Keyed(scope) => {
                 let window = class.and_then(|c| c.dedup_window).unwrap_or(0);
                 let group = |id: HostId| match (scope, self.hosts.get(&id).map(|h| h.member)) {
@@ -559,7 +561,8 @@
                     (KeyScope::Zone, Some(m)) => Some(m.zone.0 as i64),
                     (KeyScope::Cell, Some(m)) => Some(m.cell.0),
                 };
-                self.now + REPEAT_UP < sent + window && to.is_none_or(|to| group(to) == group(first))
+                let within = to.is_none_or(|to| group(to) == group(first));
+                Some(sent + window - REPEAT_MARGIN).filter(|until| within && self.now < *until)
             }
         }
     }
@@ -576,9 +579,8 @@
         self.end(id);
     }
 
-    /// While the host leaves, others are told, and streams are moved, the newest first: old ones may end by
-    /// themselves. Guards against clients that come again where nobody takes them: none is moved while all
-    /// that would tell us are away. At the end all is, and what has no answer gets its final one.
+    /// While the host leaves: tells the others and moves streams, the newest first, unless all that would tell
+    /// us are away themselves. At the end all streams are moved, and what has no answer gets its final one.
     fn on_leaving(&mut self) {
         let Some((from, by, words)) = self.leaving else { return };
         let others = self.settings.balancers.unwrap_or(0).saturating_sub(1);
@@ -690,9 +692,8 @@
         }
     }
 
-    /// As far as reads are late in our zone or at one kind and not elsewhere, homes go there (see `home`).
-    /// Guards against a zone or kind given more than it bears, which none of many dispatchers sees in its few
-    /// reads. It could hurt where lateness comes with some clients (huge prompts): homes find nothing kept.
+    /// Homes go where fewer reads are late than in our zone or at one kind (see `home`): a zone may be given more
+    /// than it bears, which none of many dispatchers sees in its few reads. Huge prompts could mislead it.
     fn learn_spread(&mut self, host: HostId, late: bool) {
         let Some(host) = self.hosts.get(&host) else { return };
         let far = self.settings.zone != Some(host.member.zone);
@@ -823,10 +824,11 @@
 
     fn halves(&mut self, id: RequestId, home: Option<HostId>, fleet: &Fleet) -> (Vec<Half>, Vec<Half>) {
         let (mut readers, mut writers) = (Vec::new(), Vec::new());
-        let (salt, ask) = (self.rng.next_u64(), self.requests[&id].ask);
+        let (salt, request) = (self.rng.next_u64(), &self.requests[&id]);
+        let ask = &request.ask;
         for (id, host) in &self.hosts {
             let room = host.held[0] < host.limits[0].most && host.held[1] + host.coming < host.limits[1].most;
-            if !room || !self.takes(*id, &ask, home == Some(*id)) {
+            if !room || !self.takes(*id, request, home == Some(*id)) {
                 continue;
             }
             let (dice, stage) = (mix(salt ^ id.0) as u32, self.stage(host));
@@ -834,7 +836,7 @@
             let unpaired =
                 stage != Stage::Both && uniform(salt ^ !id.0) >= fleet.paired(&host.member, stage as usize);
             let group = if unpaired { (1, host.member.zone.0 as i64) } else { (0, host.member.cell.0) };
-            let reader = || Half { group, ..self.reader_half(&ask, *id, home, dice, fleet) };
+            let reader = || Half { group, ..self.reader_half(ask, *id, home, dice, fleet) };
             readers.extend((stage != Stage::Write).then(reader));
             let writer = || Half { group, ..self.writer_half(*id, fleet, dice) };
             writers.extend((stage != Stage::Read).then(writer));
@@ -842,8 +844,7 @@
         // No reader is left: writers that read for themselves take requests whole.
         if readers.is_empty() && self.settings.writers_read {
             writers.iter_mut().for_each(|w| w.whole = true);
-            let whole =
-                |w: &Half| Half { whole: true, ..self.reader_half(&ask, w.host, home, w.dice, fleet) };
+            let whole = |w: &Half| Half { whole: true, ..self.reader_half(ask, w.host, home, w.dice, fleet) };
             readers = writers.iter().map(whole).collect();
         }
         (readers, writers)
@@ -852,17 +853,15 @@
     /// The writer for a state that waits at `reader`: the held place, else the best by the lane score.
     fn choose_writer(&mut self, id: RequestId, reader: HostId) -> Option<HostId> {
         let salt = self.rng.next_u64();
-        let (request, _) = (self.requests.get(&id)?, self.hosts.get(&reader)?);
-        let ask = request.ask;
-        if let Some(place) = request.place.filter(|w| self.takes(*w, &ask, false)) {
+        let (request, host) = (self.requests.get(&id)?, self.hosts.get(&reader)?);
+        if let Some(place) = request.place.filter(|w| self.takes(*w, request, false)) {
             return Some(place);
         }
         let fleet = self.fleet();
-        let half = self.reader_half(&ask, reader, None, 0, &fleet);
-        let half = Half { load: 0.0, fresh: true, whole: false, ..half };
+        let half = Half { fresh: true, whole: false, ..self.half(reader, host, 0.0, 0.0, 0.0, 0) };
         let hosts = self.hosts.iter().filter(|(_, h)| self.stage(h) != Stage::Read).map(|(id, _)| *id);
         let of = |id| Half { whole: false, ..self.writer_half(id, &fleet, mix(salt ^ id.0) as u32) };
-        let writers: Vec<_> = hosts.filter(|id| self.takes(*id, &ask, false)).map(of).collect();
+        let writers: Vec<_> = hosts.filter(|id| self.takes(*id, request, false)).map(of).collect();
         best_lane(&[half], &writers, 1).map(|(_, writer)| writer)
     }
 
--- /dev/null
+++ b/tests/repeats.rs
@@ -0,0 +1,60 @@
+//! What may have run is sent again only where servers discard repeats, and in time for that.
+
+mod common;
+
+use common::*;
+use cranetack::*;
+
+const READER: usize = 0;
+const WRITER: usize = 1;
+
+/// Two groups of a reader and a writer each. Server `n` is in the group `n / 10`, for both scopes.
+fn two_groups(scope: KeyScope) -> Front {
+    let server = |host: u64, kind| {
+        let group = host / 10;
+        Member { zone: ZoneId(group as usize), ..member(host, kind, group as i64) }
+    };
+    let servers = vec![server(10, READER), server(11, WRITER), server(20, READER), server(21, WRITER)];
+    Front::new(settings(Effect::Keyed(scope)), servers).0
+}
+
+/// Has a request read and then written by a server whose connection breaks; returns that server's group.
+fn may_have_run(front: &mut Front) -> u64 {
+    let read = routes(&front.ask(ask(1, front.now)))[0].1;
+    let written = routes(&front.on(result(1, 0, read, Outcome::HalfDone)))[0].1;
+    let actions = front.on(result(1, 1, written, Outcome::Reset));
+    assert!(routes(&actions).iter().all(|(_, host)| host / 10 == written / 10), "{actions:?}");
+    written / 10
+}
+
+/// Guards against a repeat outside its group: its read counts too. Both servers of the group are set aside for a while
+/// after the break, and those of the other group take no part of it meanwhile.
+#[test]
+fn a_repeat_is_read_and_written_in_the_group_where_it_may_have_run() {
+    for scope in [KeyScope::Zone, KeyScope::Cell] {
+        let mut front = two_groups(scope);
+        let group = may_have_run(&mut front);
+        let later: Vec<Action> = front.pass(2 * SECOND).into_iter().map(|(_, action)| action).collect();
+        assert!(routes(&later).iter().all(|(_, host)| host / 10 == group), "{scope:?}: {later:?}");
+        assert!(!routes(&later).is_empty(), "{scope:?}: it is sent again once the group takes it");
+    }
+}
+
+/// Guards against a repeat that is written in time and held up by its connection until its window has ended.
+#[test]
+fn a_repeat_is_given_up_if_its_connection_comes_up_after_the_window() {
+    let mut front = two_groups(KeyScope::Zone);
+    let read = routes(&front.ask(ask(1, front.now)))[0].1;
+    let written_at = front.now;
+    let written = routes(&front.on(result(1, 0, read, Outcome::HalfDone)))[0].1;
+    front.pass(2 * SECOND);
+    let mut actions = front.on(result(1, 1, written, Outcome::Reset));
+    actions.extend(front.pass(SECOND).into_iter().map(|(_, action)| action));
+    let up_by = actions.iter().filter_map(|action| match action {
+        Action::Route { up_by, .. } => Some(*up_by),
+        _ => None,
+    });
+    let up_by: Vec<Micros> = up_by.collect();
+    assert!(!up_by.is_empty());
+    assert!(up_by.iter().all(|at| *at > 0 && *at < written_at + 3 * SECOND - SECOND / 20), "{up_by:?}");
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -51,7 +51,7 @@
     fn check(&mut self, now: Micros, effect: Effect, actions: &[Action]) {
         for action in actions {
             match action {
-                Action::Route { id, host, expire, .. } => {
+                Action::Route { id, host, expire, up_by } => {
                     let (id, host) = (id.0, host.0);
                     let (deadline, answered) = self.deadline[&id];
                     assert!(!answered && now <= deadline, "sent after its end");
@@ -62,10 +62,12 @@
                     assert!(*number < 4, "too many attempts");
                     if let Some((first, since)) = self.ran.get(&id) {
                         assert!(effect != Effect::Unsafe, "an unsafe request may run twice");
-                        if let (Effect::Keyed(scope), true) = (effect, stage(host) != 0) {
+                        // Reads too: a repeat goes to the group of the server where it may have run.
+                        if let Effect::Keyed(scope) = effect {
                             assert!(scope == KeyScope::All || cell(*first) == cell(host), "wrong group");
-                            // It is written once a connection is up, which may take 250 ms.
-                            assert!(now + SECOND / 4 < since + 3 * SECOND, "too late for the key");
+                            // It is written once a connection is up, by `up_by` at the latest, and has a way to go.
+                            let up_by = if *up_by == 0 { Micros::MAX } else { *up_by };
+                            assert!(up_by + SECOND / 20 < since + 3 * SECOND, "too late for the key");
                         }
                     }
                     self.out.insert(id, (*number, host, now, false));
