Close clients' connections in order, and notice clients that send much and go

With bytes unread the system resets the connection, and the client loses what it has not read yet; also the answer that went before. Now the router's side is closed and what comes is read until the client closes, for 200 ms at most, at once where the permit is needed. - client_stream.rs: nothing was read past 16 KiB ahead, so a client's close behind more was not seen and its attempt went on. Now up to 4 MiB are read and thrown away; the connection ends with the current answer. - A head half read when the last connections were closed was awaited for 2 s and could then be taken with too little time left. Now it is not taken: its client sends it elsewhere.

--- a/router/src/front/client_stream.rs
+++ b/router/src/front/client_stream.rs
@@ -14,10 +14,12 @@
 
 use super::connections::{Activity, ConnectionState};
 
-/// The most that is read of a connection while a request on it is being answered, to see whether its client leaves.
+/// The most that is kept of what is read ahead. Clients send one request at a time, so that there is seldom any.
 const READ_AHEAD_LIMIT: usize = 16 * 1024;
-/// What is read at once.
-const READ_AHEAD_PIECE: usize = 2 * 1024;
+/// The most that is read ahead and thrown away beyond that, so that a client which sends much and goes is noticed.
+const DISCARD_LIMIT: usize = 4 * 1024 * 1024;
+/// What is read at once of what is read ahead or thrown away.
+const PIECE: usize = 2 * 1024;
 
 /// Reads ahead while a request is being answered, so that a client which leaves is noticed. Guards against a close that
 /// stands behind bytes which nobody reads until the answer is out: the library stops reading once it has any.
@@ -38,14 +40,14 @@
     }
 
     fn poll_client_left(&self, cx: &mut Context<'_>) -> Poll<()> {
-        let mut piece = [0; READ_AHEAD_PIECE];
+        let mut piece = [0; PIECE];
         while self.may_read_on() {
             let mut read = ReadBuf::new(&mut piece);
             let failed = ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, &mut read)).is_err();
             if failed || read.filled().is_empty() {
                 return Poll::Ready(());
             }
-            self.state.read_ahead.borrow_mut().extend_from_slice(read.filled());
+            self.keep_or_discard(read.filled());
             cx.waker().wake_by_ref(); // whoever waits for it has been polled already
         }
         Poll::Pending
@@ -53,7 +55,17 @@
 
     fn may_read_on(&self) -> bool {
         let answering = matches!(self.state.activity.get(), Activity::Answering);
-        answering && self.state.read_ahead.borrow().len() < READ_AHEAD_LIMIT
+        answering && self.state.discarded.get() < DISCARD_LIMIT
+    }
+
+    /// Once something has been discarded, nothing further is kept: the connection ends there.
+    fn keep_or_discard(&self, bytes: &[u8]) {
+        let mut read_ahead = self.state.read_ahead.borrow_mut();
+        if self.state.discarded.get() == 0 && read_ahead.len() + bytes.len() <= READ_AHEAD_LIMIT {
+            read_ahead.extend_from_slice(bytes);
+        } else {
+            self.state.discarded.set(self.state.discarded.get() + bytes.len());
+        }
     }
 }
 
@@ -68,9 +80,12 @@
         TrackedStream { stream, state }
     }
 
-    /// Gives what was read ahead first, then what the stream has.
+    /// Gives what was read ahead first, then what the stream has, or its end where the rest has been discarded.
     fn poll_next_bytes(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let mut read_ahead = self.state.read_ahead.borrow_mut();
+        if read_ahead.is_empty() && self.state.discarded.get() > 0 {
+            return Poll::Ready(Ok(()));
+        }
         if read_ahead.is_empty() {
             return Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf);
         }
@@ -113,3 +128,17 @@
         Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
     }
 }
+
+/// Closes our side of a connection and throws away what still comes, until the other side closes or fails.
+pub(super) async fn shut_down_and_drain(stream: &RefCell<TcpStream>) {
+    // Fails where the client has reset the connection: then there is nothing to read either.
+    let _ = poll_fn(|cx| Pin::new(&mut *stream.borrow_mut()).poll_shutdown(cx)).await;
+    while poll_fn(|cx| poll_discard(stream, cx)).await.is_ok_and(|length| length > 0) {}
+}
+
+fn poll_discard(stream: &RefCell<TcpStream>, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+    let mut piece = [0; PIECE];
+    let mut read = ReadBuf::new(&mut piece);
+    ready!(Pin::new(&mut *stream.borrow_mut()).poll_read(cx, &mut read))?;
+    Poll::Ready(Ok(read.filled().len()))
+}
--- a/router/src/front/connections.rs
+++ b/router/src/front/connections.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{timeout, Instant};
 
-use super::client_stream::{ReadAhead, TrackedStream};
+use super::client_stream::{shut_down_and_drain, ReadAhead, TrackedStream};
 use crate::framing::Framing;
 
 /// How long a client may take over the head of a request, from the connection's start or its first byte.
@@ -29,6 +29,8 @@
 const EVICTION_GRACE: Duration = Duration::from_millis(50);
 /// The interval between two evictions while a new connection waits for a permit.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(20);
+/// How long a client may take to close its side once the router has closed its own.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(200);
 /// By how much a client that has not asked counts as idle for longer than one whose request was answered.
 const SILENT_BIAS: Duration = Duration::from_secs(5);
 
@@ -67,6 +69,8 @@
     pub(super) framing: RefCell<Framing>,
     /// What has been read ahead.
     pub(super) read_ahead: RefCell<BytesMut>,
+    /// How much was read ahead and not kept: the connection is of no use after the current request.
+    pub(super) discarded: Cell<usize>,
     close: Notify,
 }
 
@@ -135,6 +139,7 @@
             blocked_since: Cell::default(),
             framing: RefCell::new(Framing::of_requests()),
             read_ahead: RefCell::default(),
+            discarded: Cell::default(),
             close: Notify::new(),
         });
         self.connections.borrow_mut().insert(number, state.clone());
@@ -175,12 +180,30 @@
 
 impl ClientConnection {
     /// The stream with what passes noted, and what sees its end while nobody reads it.
-    pub fn track(&self, stream: TcpStream) -> (TrackedStream, ReadAhead) {
-        let stream = Rc::new(RefCell::new(stream));
+    pub fn track(&self, stream: Rc<RefCell<TcpStream>>) -> (TrackedStream, ReadAhead) {
         let read_ahead = ReadAhead::new(stream.clone(), self.state.clone());
         (TrackedStream::new(stream, self.state.clone()), read_ahead)
     }
 
+    /// Ends the connection: closes the router's side and reads what the client still sends, until that closes its own
+    /// side, its time is up, or the permit is needed. Guards against a close over unread bytes, by which the system
+    /// resets the connection: the client would lose what it has not read yet.
+    pub async fn close_gracefully(&self, stream: Rc<RefCell<TcpStream>>) {
+        let patience =
+            if self.limiter.permits.available_permits() > 0 { LINGER_TIMEOUT } else { Duration::ZERO };
+        tokio::select! {
+            biased;
+            _ = timeout(patience, shut_down_and_drain(&stream)) => {}
+            () = self.close_requested() => {}
+        }
+    }
+
+    /// Whether a head is awaited, and all that was answered before is out.
+    pub fn is_receiving(&self) -> bool {
+        matches!(self.state.activity.get(), Activity::Receiving(_))
+            && self.state.blocked_since.get().is_none()
+    }
+
     /// Where requests on this connection are noted.
     pub fn requests(&self) -> RequestTracker {
         RequestTracker(self.state.clone())
@@ -213,7 +236,7 @@
 
     /// Whether the connection must end with this request.
     pub fn is_last(&self) -> bool {
-        self.0.framing.borrow().is_last()
+        self.0.framing.borrow().is_last() || self.0.discarded.get() > 0
     }
 }
 
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -9,6 +9,7 @@
 pub mod inference;
 pub mod platform;
 
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::Pin;
@@ -268,10 +269,20 @@
     }
 }
 
+/// Serves a connection to its end, and ends it.
 async fn serve_connection<F: Front>(
-    stream: TcpStream, connection: ClientConnection, service: Serving<F>, mut phase: watch::Receiver<Phase>,
+    stream: TcpStream, connection: ClientConnection, service: Serving<F>, phase: watch::Receiver<Phase>,
 ) {
     let _ = stream.set_nodelay(true);
+    let stream = Rc::new(RefCell::new(stream));
+    serve_requests(stream.clone(), &connection, service, phase).await;
+    connection.close_gracefully(stream).await;
+}
+
+async fn serve_requests<F: Front>(
+    stream: Rc<RefCell<TcpStream>>, connection: &ClientConnection, service: Serving<F>,
+    mut phase: watch::Receiver<Phase>,
+) {
     let (stream, read_ahead) = connection.track(stream);
     // How long a client may take is the limiter's affair.
     let served = http1::Builder::new()
@@ -283,8 +294,13 @@
         tokio::select! {
             biased;
             ended = &mut served => return ended,
-            _ = phase.wait_for(|p| *p >= Phase::Finishing) => served.as_mut().graceful_shutdown(),
+            _ = phase.wait_for(|p| *p >= Phase::Finishing) => {}
+        }
+        // A head that has not come whole by now could be taken too late to be answered: its client sends it elsewhere.
+        if connection.is_receiving() {
+            return Ok(());
         }
+        served.as_mut().graceful_shutdown();
         served.await
     };
     // A connection that is to be closed reads nothing more: what it would take now would be lost.
--- a/router/tests/races.rs
+++ b/router/tests/races.rs
@@ -6,11 +6,13 @@
 use std::time::Duration;
 
 use common::{
-    chunk, run, run_paused, settings, Bed, ManualConnection, ManualServer, EVENT, FINISH, LAST_CHUNK,
-    STREAM_HEAD,
+    chunk, line, run, run_paused, settings, Bed, Behaviour, End, ManualConnection, ManualServer, Worker,
+    DONE, EVENT, FINISH, LAST_CHUNK, STREAM_HEAD,
 };
+use cranetack_router::shutdown;
 use serde_json::Value;
-use tokio::time::Instant;
+use tokio::task::spawn_local;
+use tokio::time::{timeout, Instant};
 
 /// Settings without reservations and probes: each connection to a server carries an attempt.
 fn plain_settings() -> Value {
@@ -81,3 +83,101 @@
         });
     }
 }
+
+/// More than the router reads ahead, and more than the system keeps unread.
+const FLOOD: usize = 512 * 1024;
+
+/// Guards against an answer that its client loses: a close over unread bytes resets the connection.
+#[test]
+fn an_answer_arrives_whole_though_its_client_has_sent_more_than_is_read() {
+    run(async {
+        let (server, bed) = with_mixed_server().await;
+        let mut client = ManualConnection::connect(bed.platform).await;
+        client.send(&request("c1", "order", "", "{}")).await;
+        let (mut attempt, _) = server.accept_request().await;
+        let mut sender = client.sender();
+        let flood = spawn_local(async move {
+            sender.send_until_closed(&"x".repeat(FLOOD)).await;
+            std::future::pending::<()>().await; // a client that ends its sending has gone
+        });
+        attempt.send(&format!("{STREAM_HEAD}{}", chunk(EVENT))).await;
+        client.until(EVENT).await;
+        attempt.send(&format!("{}{LAST_CHUNK}", chunk(DONE))).await;
+        let (rest, end) = client.end().await;
+        assert!(rest.ends_with(LAST_CHUNK), "{rest:?}");
+        assert_eq!(end, End::Closed);
+        flood.abort();
+    });
+}
+
+/// Guards against a client that sends much and goes: its close stands behind bytes that nobody reads.
+#[test]
+fn a_client_that_sends_much_and_goes_has_its_attempt_called_off() {
+    run(async {
+        let (server, bed) = with_mixed_server().await;
+        let mut client = ManualConnection::connect(bed.platform).await;
+        client.send(&request("d1", "order", "", "{}")).await;
+        let (mut attempt, _) = server.accept_request().await;
+        client.sender().send_until_closed(&"x".repeat(FLOOD)).await;
+        drop(client);
+        timeout(Duration::from_secs(2), attempt.end()).await.expect("its deadline is three seconds later");
+    });
+}
+
+/// Guards against a request that is taken too late: what has not come whole when the last connections are closed is not
+/// taken, and its client is told by a close, not by a reset.
+#[test]
+fn a_request_half_read_at_the_shutdown_is_not_taken() {
+    run_paused(async {
+        let (_server, mut bed) = with_mixed_server().await;
+        let whole = request("e1", "order", "", "{}");
+        let mut client = ManualConnection::connect(bed.platform).await;
+        client.send(&whole[..whole.len() / 2]).await;
+        let stopped = Instant::now();
+        bed.stop.take().unwrap().send(()).unwrap();
+        assert_eq!(client.end().await, (String::new(), End::Closed));
+        assert!(
+            stopped.elapsed() < shutdown::ACCEPT_FOR + Duration::from_millis(100),
+            "{:?}",
+            stopped.elapsed()
+        );
+        drop(client);
+        bed.stopped.await.unwrap();
+    });
+}
+
+/// Guards against a request on a resting connection that is read as the connection is closed: each is answered in full,
+/// or not taken, which its client sees by a close in order.
+#[test]
+fn a_request_on_a_resting_connection_at_the_shutdown_is_answered_or_not_taken() {
+    run(async {
+        let worker = Worker::start(64, Behaviour::Answer).await;
+        let mut bed = Bed::start(vec![line(&worker, "mixed", "up")]).await;
+        let mut clients = Vec::new();
+        for number in 0..7 {
+            let mut client = ManualConnection::connect(bed.platform).await;
+            client.send(&request(&format!("f{number}"), "order", "", "{}")).await;
+            client.until(LAST_CHUNK).await;
+            clients.push(client);
+        }
+        bed.stop.take().unwrap().send(()).unwrap();
+        let closing = Instant::now() + shutdown::ACCEPT_FOR;
+        let asked = clients.into_iter().enumerate().map(|(number, mut client)| {
+            spawn_local(async move {
+                let offset = Duration::from_micros(500 * number as u64);
+                tokio::time::sleep_until(closing - Duration::from_millis(1) + offset).await;
+                client.sender().send_until_closed(&request(&format!("g{number}"), "order", "", "{}")).await;
+                client.end().await
+            })
+        });
+        let mut answered = 0;
+        for asked in asked.collect::<Vec<_>>() {
+            let (said, end) = asked.await.unwrap();
+            assert!(said.is_empty() || said.ends_with(LAST_CHUNK), "{said:?}");
+            assert_eq!(end, End::Closed);
+            answered += usize::from(!said.is_empty());
+        }
+        assert_eq!(worker.began("/v1/chat/completions"), 7 + answered);
+        bed.stopped.await.unwrap();
+    });
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use client::{Client, Raw};
 pub use discovery::{line, line_at, Discovery};
-pub use manual::{chunk, End, ManualConnection, ManualServer, LAST_CHUNK, READ, STREAM_HEAD};
+pub use manual::{chunk, End, ManualConnection, ManualSender, ManualServer, LAST_CHUNK, READ, STREAM_HEAD};
 pub use worker::{scripted, Behaviour, Reply, Seen, Spoils, Worker, DONE, EVENT, FINISH};
 
 use std::future::Future;
--- a/standins/src/manual.rs
+++ b/standins/src/manual.rs
@@ -5,6 +5,7 @@
 
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::discovery::line_at;
@@ -42,8 +43,7 @@
     /// The next connection.
     pub async fn accept(&self) -> ManualConnection {
         let (stream, _) = self.listener.accept().await.unwrap();
-        stream.set_nodelay(true).unwrap();
-        ManualConnection { stream, received: Vec::new() }
+        ManualConnection::new(stream)
     }
 
     /// The next connection and the first request on it.
@@ -65,16 +65,36 @@
 
 /// One connection.
 pub struct ManualConnection {
-    stream: TcpStream,
+    reads: OwnedReadHalf,
+    writes: Option<OwnedWriteHalf>,
     received: Vec<u8>,
 }
 
+/// The sending side of a connection.
+pub struct ManualSender(OwnedWriteHalf);
+
+impl ManualSender {
+    /// Sends as much as the other side lets it.
+    pub async fn send_until_closed(&mut self, text: &str) {
+        let _ = self.0.write_all(text.as_bytes()).await;
+    }
+}
+
 impl ManualConnection {
     /// Connects to a router.
     pub async fn connect(address: SocketAddr) -> ManualConnection {
-        let stream = TcpStream::connect(address).await.unwrap();
+        ManualConnection::new(TcpStream::connect(address).await.unwrap())
+    }
+
+    fn new(stream: TcpStream) -> ManualConnection {
         stream.set_nodelay(true).unwrap();
-        ManualConnection { stream, received: Vec::new() }
+        let (reads, writes) = stream.into_split();
+        ManualConnection { reads, writes: Some(writes), received: Vec::new() }
+    }
+
+    /// The sending side, which may go on in a task of its own. Dropping it ends what is sent.
+    pub fn sender(&mut self) -> ManualSender {
+        ManualSender(self.writes.take().expect("the sending side has been taken"))
     }
 
     /// The next whole request, its head and its body.
@@ -84,13 +104,18 @@
                 let request: Vec<u8> = self.received.drain(..length).collect();
                 return String::from_utf8(request).unwrap();
             }
-            let read = self.stream.read_buf(&mut self.received).await.unwrap();
+            let read = self.reads.read_buf(&mut self.received).await.unwrap();
             assert!(read > 0, "the connection ended before a whole request");
         }
     }
 
     pub async fn send(&mut self, text: &str) {
-        self.stream.write_all(text.as_bytes()).await.unwrap();
+        self.writes
+            .as_mut()
+            .expect("the sending side has been taken")
+            .write_all(text.as_bytes())
+            .await
+            .unwrap();
     }
 
     /// Reads until `text` has come; returns what came up to its end.
@@ -101,7 +126,7 @@
                 self.received.drain(..at + text.len());
                 return here[..at + text.len()].to_owned();
             }
-            let read = self.stream.read_buf(&mut self.received).await.unwrap();
+            let read = self.reads.read_buf(&mut self.received).await.unwrap();
             assert!(read > 0, "the connection ended before {text:?}: {here:?}");
         }
     }
@@ -109,7 +134,7 @@
     /// Reads to the end: what was still said, and how the connection ended.
     pub async fn end(&mut self) -> (String, End) {
         loop {
-            match self.stream.read_buf(&mut self.received).await {
+            match self.reads.read_buf(&mut self.received).await {
                 Ok(0) => return (self.take_received(), End::Closed),
                 Ok(_) => {}
                 Err(_) => return (self.take_received(), End::Reset),
@@ -123,7 +148,7 @@
 
     /// Ends the connection by a reset.
     pub fn reset(self) {
-        self.stream.set_zero_linger().unwrap();
+        self.reads.as_ref().set_zero_linger().unwrap();
     }
 }
 
