Keep what a client sends ahead up to the size of a request

Cause: a client sends its next request as soon as it has the last event, before the last chunk; requests of over 16 KiB were thrown away as a flood and their connections ended. Lines at fault: client_stream.rs, keep_or_discard: a limit under the size of a request. Change: up to a request's size is kept (256 KiB of body, or the front's own limit, and its head), 8 MiB over all connections. Test: races.rs, a_request_sent_after_the_last_event_and_before_the_end_is_answered, seen to hang without the change.

--- a/router/src/front/client_stream.rs
+++ b/router/src/front/client_stream.rs
@@ -14,9 +14,7 @@
 
 use super::connections::{Activity, ConnectionState};
 
-/// The most that is kept of what is read ahead. Clients send one request at a time, so that there is seldom any.
-const READ_AHEAD_LIMIT: usize = 16 * 1024;
-/// The most that is read ahead and thrown away beyond that, so that a client which sends much and goes is noticed.
+/// The most that is thrown away of what is read ahead, so that a client which sends much and goes is noticed.
 const DISCARD_LIMIT: usize = 4 * 1024 * 1024;
 /// What is read at once of what is read ahead or thrown away.
 const PIECE: usize = 2 * 1024;
@@ -58,13 +56,14 @@
         answering && self.state.discarded.get() < DISCARD_LIMIT
     }
 
-    /// Once something has been discarded, nothing further is kept: the connection ends there.
+    /// Keeps the next request, which a client may send as soon as it has the last event of an answer. What is more than
+    /// a request can hold is discarded; then nothing further is kept, and the connection ends there.
     fn keep_or_discard(&self, bytes: &[u8]) {
-        let mut read_ahead = self.state.read_ahead.borrow_mut();
-        if self.state.discarded.get() == 0 && read_ahead.len() + bytes.len() <= READ_AHEAD_LIMIT {
-            read_ahead.extend_from_slice(bytes);
+        let discarded = &self.state.discarded;
+        if discarded.get() == 0 && self.state.reserve_read_ahead(bytes.len()) {
+            self.state.read_ahead.borrow_mut().extend_from_slice(bytes);
         } else {
-            self.state.discarded.set(self.state.discarded.get() + bytes.len());
+            discarded.set(discarded.get() + bytes.len());
         }
     }
 }
@@ -92,6 +91,7 @@
         let length = read_ahead.len().min(buf.remaining());
         buf.put_slice(&read_ahead[..length]);
         read_ahead.advance(length);
+        self.state.release_read_ahead(length);
         if read_ahead.is_empty() {
             *read_ahead = BytesMut::new(); // idle connections hold no buffer
         }
--- a/router/src/front/connections.rs
+++ b/router/src/front/connections.rs
@@ -25,6 +25,10 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// How long a client may read nothing of an answer that waits for it, unless the front says otherwise.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// The most that a request's body may hold, unless the front says otherwise.
+pub(super) const BODY_LIMIT: usize = 256 * 1024;
+/// The most that is kept of what all connections of a front have sent ahead.
+const READ_AHEAD_TOTAL: usize = 8 * 1024 * 1024;
 /// For how long a connection is safe from eviction: its request may be on its way.
 const EVICTION_GRACE: Duration = Duration::from_millis(50);
 /// The interval between two evictions while a new connection waits for a permit.
@@ -34,18 +38,24 @@
 /// By how much a client that has not asked counts as idle for longer than one whose request was answered.
 const SILENT_BIAS: Duration = Duration::from_secs(5);
 
-/// How long a front's clients may take.
+/// What a front's clients may take.
 #[derive(Debug, Clone, Copy)]
-pub struct ClientTimeouts {
-    /// Over all of a request, from its first byte.
-    pub request: Duration,
-    /// Over reading nothing of what waits for them.
-    pub unread: Duration,
+pub struct ClientLimits {
+    /// The time for all of a request, from its first byte.
+    pub request_timeout: Duration,
+    /// The time for which they may read nothing of what waits for them.
+    pub unread_timeout: Duration,
+    /// The bytes of a request's body.
+    pub body_bytes: usize,
 }
 
-impl Default for ClientTimeouts {
+impl Default for ClientLimits {
     fn default() -> Self {
-        ClientTimeouts { request: REQUEST_TIMEOUT, unread: UNREAD_TIMEOUT }
+        ClientLimits {
+            request_timeout: REQUEST_TIMEOUT,
+            unread_timeout: UNREAD_TIMEOUT,
+            body_bytes: BODY_LIMIT,
+        }
     }
 }
 
@@ -62,7 +72,8 @@
 
 /// What is known of a connection, shared by all that handle it.
 pub(super) struct ConnectionState {
-    timeouts: ClientTimeouts,
+    limits: ClientLimits,
+    read_ahead_total: Rc<Cell<usize>>,
     pub(super) activity: Cell<Activity>,
     /// Since when the client has read nothing of what waits for it.
     pub(super) blocked_since: Cell<Option<Instant>>,
@@ -79,13 +90,29 @@
     /// answer is read. Guards against a client that reads nothing and holds what waits for it.
     fn expires_at(&self) -> Option<Instant> {
         match (self.activity.get(), self.blocked_since.get()) {
-            (_, Some(since)) => Some(since + self.timeouts.unread),
+            (_, Some(since)) => Some(since + self.limits.unread_timeout),
             (Activity::Answering, None) => None,
             (Activity::Receiving(since), _) => Some(since + HEAD_TIMEOUT),
             (Activity::Idle(since), _) => Some(since + IDLE_TIMEOUT),
         }
     }
 
+    /// Whether so many bytes more may be kept of what was read ahead: no more than a request holds, and all of them.
+    pub(super) fn reserve_read_ahead(&self, length: usize) -> bool {
+        let own = self.read_ahead.borrow().len() + length;
+        let total = self.read_ahead_total.get() + length;
+        let fits = own <= self.limits.body_bytes + 2 * super::BUFFER_MOST && total <= READ_AHEAD_TOTAL;
+        if fits {
+            self.read_ahead_total.set(total);
+        }
+        fits
+    }
+
+    /// So many bytes of what was read ahead are kept no longer.
+    pub(super) fn release_read_ahead(&self, length: usize) {
+        self.read_ahead_total.set(self.read_ahead_total.get() - length);
+    }
+
     /// For how long the connection has been idle, if it may be evicted.
     fn evictable_for(&self, now: Instant) -> Option<Duration> {
         let (since, bias) = match self.activity.get() {
@@ -101,17 +128,19 @@
 /// Bounds the connections of a front.
 pub struct ConnectionLimiter {
     permits: Arc<Semaphore>,
-    timeouts: ClientTimeouts,
+    limits: ClientLimits,
+    read_ahead_total: Rc<Cell<usize>>,
     connections: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
     next_number: Cell<u64>,
 }
 
 impl ConnectionLimiter {
-    /// At most `limit` connections.
-    pub fn new(limit: usize, timeouts: ClientTimeouts) -> Rc<ConnectionLimiter> {
+    /// At most so many connections.
+    pub fn new(most: usize, limits: ClientLimits) -> Rc<ConnectionLimiter> {
         Rc::new(ConnectionLimiter {
-            permits: Arc::new(Semaphore::new(limit)),
-            timeouts,
+            permits: Arc::new(Semaphore::new(most)),
+            limits,
+            read_ahead_total: Rc::default(),
             connections: RefCell::default(),
             next_number: Cell::default(),
         })
@@ -134,7 +163,8 @@
     pub fn register(self: &Rc<Self>, permit: Option<OwnedSemaphorePermit>) -> ClientConnection {
         let number = self.next_number.replace(self.next_number.get() + 1);
         let state = Rc::new(ConnectionState {
-            timeouts: self.timeouts,
+            limits: self.limits,
+            read_ahead_total: self.read_ahead_total.clone(),
             activity: Cell::new(Activity::Receiving(Instant::now())),
             blocked_since: Cell::default(),
             framing: RefCell::new(Framing::of_requests()),
@@ -175,6 +205,7 @@
 impl Drop for ClientConnection {
     fn drop(&mut self) {
         self.limiter.connections.borrow_mut().remove(&self.number);
+        self.state.release_read_ahead(self.state.read_ahead.borrow().len());
     }
 }
 
@@ -226,7 +257,7 @@
             Activity::Receiving(since) => since,
             Activity::Answering | Activity::Idle(_) => Instant::now(),
         };
-        RequestGuard { state: self.0.clone(), body_deadline: since + self.0.timeouts.request }
+        RequestGuard { state: self.0.clone(), body_deadline: since + self.0.limits.request_timeout }
     }
 
     /// Whether where this request ends is in doubt.
--- a/router/src/front/inference/mod.rs
+++ b/router/src/front/inference/mod.rs
@@ -30,7 +30,7 @@
 use tokio::time::Instant;
 
 use super::account::{Account, Claim};
-use super::{is_word, retry_after, streamed, AnswerBody, Arriving, BodyError, ClientTimeouts, Front};
+use super::{is_word, retry_after, streamed, AnswerBody, Arriving, BodyError, ClientLimits, Front};
 use crate::core::{Asked, Handle};
 use crate::exchange::{Answer, Broken, Message, Parts};
 use crate::shutdown::Phase;
@@ -573,9 +573,13 @@
 }
 
 impl Front for Inference {
-    fn timeouts(&self) -> ClientTimeouts {
+    fn limits(&self) -> ClientLimits {
         let limits = &self.0.setup.limits;
-        ClientTimeouts { request: limits.body_wait(), unread: limits.read_wait() }
+        ClientLimits {
+            request_timeout: limits.body_wait(),
+            unread_timeout: limits.read_wait(),
+            body_bytes: limits.body_bytes,
+        }
     }
 
     async fn answer(self, request: Request<Arriving>) -> Response<AnswerBody> {
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -33,7 +33,7 @@
 use crate::exchange::{Broken, Gone, Parts};
 use crate::shutdown::Phase;
 pub use body::{Arriving, BodyError};
-pub use connections::ClientTimeouts;
+pub use connections::ClientLimits;
 use connections::{ClientConnection, ConnectionLimiter, RequestGuard, RequestTracker};
 
 /// The most that is read ahead on a connection, and so the longest head of a request. A kept connection goes on
@@ -177,9 +177,9 @@
 
 /// A front: what becomes of one request.
 pub trait Front: Clone + 'static {
-    /// How long its clients may take.
-    fn timeouts(&self) -> ClientTimeouts {
-        ClientTimeouts::default()
+    /// What its clients may take.
+    fn limits(&self) -> ClientLimits {
+        ClientLimits::default()
     }
 
     /// Answers a request.
@@ -224,7 +224,7 @@
 pub async fn serve<F: Front>(
     listener: TcpListener, front: F, most: usize, mut phase: watch::Receiver<Phase>,
 ) {
-    let limiter = ConnectionLimiter::new(most, front.timeouts());
+    let limiter = ConnectionLimiter::new(most, front.limits());
     let mut connections = tokio::task::JoinSet::new();
     let accepting = async {
         loop {
--- a/router/src/front/platform.rs
+++ b/router/src/front/platform.rs
@@ -11,6 +11,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 
 use super::account::Account;
+use super::connections::BODY_LIMIT;
 use super::headers::end_to_end;
 use super::{is_word, retry_after, streamed, AnswerBody, Arriving, BodyError, Front, Readiness};
 use crate::core::{Asked, Handle};
@@ -18,8 +19,6 @@
 
 const CHAT: &str = "/v1/chat/completions";
 const UP: &str = "/up";
-/// The most that a request's body may hold.
-const BODY_MOST: usize = 256 * 1024;
 
 /// The front as a service.
 #[derive(Clone)]
@@ -40,7 +39,7 @@
     async fn chat(&self, request: Request<Arriving>) -> Result<Response<AnswerBody>, Wrong> {
         let (head, body) = request.into_parts();
         // The number of connections bounds what bodies hold here.
-        let (body, _claim) = body.whole(None, BODY_MOST, &self.account).await?;
+        let (body, _claim) = body.whole(None, BODY_LIMIT, &self.account).await?;
         let caller = self.handle.ask(decode(&head, body, &self.classes)?);
         let (answer, gone) = caller.answer().await;
         Ok(match answer {
--- a/router/tests/races.rs
+++ b/router/tests/races.rs
@@ -110,6 +110,31 @@
     });
 }
 
+/// Guards against a request that is lost because it came early: a client may send its next one as soon as it has the
+/// last event of an answer, before the answer's end.
+#[test]
+fn a_request_sent_after_the_last_event_and_before_the_end_is_answered() {
+    run(async {
+        let (server, bed) = with_mixed_server().await;
+        let mut client = ManualConnection::connect(bed.platform).await;
+        client.send(&request("c2", "order", "", "{}")).await;
+        let (mut attempt, _) = server.accept_request().await;
+        attempt.send(&format!("{STREAM_HEAD}{}", chunk(DONE))).await;
+        client.until(DONE).await;
+        client.send(&request("c3", "order", "", &"x".repeat(200_000))).await;
+        // The router has read on by the time that it has the answer to a further client.
+        let mut other = ManualConnection::connect(bed.platform).await;
+        other.send("GET /up HTTP/1.1\r\nhost: app\r\n\r\n").await;
+        other.until("ready").await;
+        attempt.send(LAST_CHUNK).await;
+        client.until(LAST_CHUNK).await;
+        let (mut attempt, seen) = server.accept_request().await;
+        assert!(seen.contains("x-request-id: c3"), "{seen:.300}");
+        attempt.send(&format!("{STREAM_HEAD}{}{LAST_CHUNK}", chunk(DONE))).await;
+        client.until(LAST_CHUNK).await;
+    });
+}
+
 /// Guards against a client that sends much and goes: its close stands behind bytes that nobody reads.
 #[test]
 fn a_client_that_sends_much_and_goes_has_its_attempt_called_off() {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -73,7 +73,7 @@
 const MOVED_AT_ONCE: usize = 4; // streams moved at a look: each is read anew elsewhere
 const PASSED_BY: Micros = 250_000; // an attempt is lost if one sent so much later is answered (us) ...
 const MUTE_FOR: Micros = 1_500_000; // ... or if its server answers neither probes nor us for so long (us)
-const REPEAT_MARGIN: Micros = 100_000; // from a repeat's latest write to its window's end: it must arrive (us)
+const REPEAT_MARGIN: Micros = 100_000; // from a repeat's latest write to its window's end: it must arrive
 const SUBSCRIBE_AGAIN: Micros = 500_000; // after a failed call for the list (us)
 
 const ANY_CLASS: ClassId = ClassId(usize::MAX);
@@ -547,7 +547,7 @@
         fits && may_repeat && self.open(id, home) && ![None, Some(request.ask.class)].iter().any(aside)
     }
 
-    /// By when another attempt (at `to`, a reader too) must be written so that it cannot repeat an effect, if any may.
+    /// By when another attempt (at `to`, a reader too) must be written so that it cannot repeat an effect.
     fn repeat_until(&self, request: &Request, to: Option<HostId>) -> Option<Micros> {
         let Some((first, sent)) = request.ran else { return Some(Micros::MAX) };
         let class = self.class(&request.ask);
@@ -579,8 +579,8 @@
         self.end(id);
     }
 
-    /// While the host leaves: tells the others and moves streams, the newest first, unless all that would tell
-    /// us are away themselves. At the end all streams are moved, and what has no answer gets its final one.
+    /// While the host leaves: tells the others and moves streams, the newest first, unless all that would
+    /// tell us are away themselves. At the end all are moved, and what has no answer gets its final one.
     fn on_leaving(&mut self) {
         let Some((from, by, words)) = self.leaving else { return };
         let others = self.settings.balancers.unwrap_or(0).saturating_sub(1);
@@ -692,8 +692,8 @@
         }
     }
 
-    /// Homes go where fewer reads are late than in our zone or at one kind (see `home`): a zone may be given more
-    /// than it bears, which none of many dispatchers sees in its few reads. Huge prompts could mislead it.
+    /// Homes go where fewer reads are late than in our zone or at one kind (see `home`): a zone may be given
+    /// more than it bears, which none of many dispatchers sees in its few reads. Huge prompts can mislead it.
     fn learn_spread(&mut self, host: HostId, late: bool) {
         let Some(host) = self.hosts.get(&host) else { return };
         let far = self.settings.zone != Some(host.member.zone);
