Use a kept connection only after a rest and a look, and reset attempts that are given up

Lines at fault, each with its mend and a test that was seen to fail without it (by undoing the line): - pool.rs, acquire: a connection whose end or second answer the system held, unseen by the runtime, was written to, and the next request would have been given that answer. It now rests for 30 ms and is read without waiting first. - pool.rs: a connection to a server's former address or life was kept; one whose machine has vanished never says so. - pool.rs, close: what the system had not sent yet was still sent after an attempt was given up, beside the next one. Now reset. - progress.rs, stalled: a client that read nothing for 1 s in the middle of a part had its stream cut off. - core.rs, upstream::begin: an attempt whose connection came up after its request had ended was written where the settings do not let attempts be called off, or the request had failed. It now looks whether the request still wants an answer. - upstream, opening: a first event that ends with CR LF or CR was held back until the stream's end. - reply.rs: a 500 that says X-Not-Run counted as never run. - upstream, PLACE_WAIT: a place asked for at a writer that does not answer was taken for unsure after 1 s; what it holds must be let go within the limit and 300 ms, and it says after 300 ms what it does not know. Now 500 ms; read, not tested.

--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -258,6 +258,8 @@
     pub expire: Instant,
     /// When to give it up, unless it has a connection.
     pub up_by: Instant,
+    /// Whether the request still wants an answer.
+    pub wanted: Rc<Cell<bool>>,
     /// It must not run twice, so it had better not go over a connection that may break under it.
     pub delicate: bool,
     /// What to send.
@@ -295,6 +297,8 @@
     /// The module has let go of what was held, and nothing has been sent since.
     released: bool,
     over: bool,
+    /// Seen by the attempt that is out, which may not have been written yet.
+    wanted: Rc<Cell<bool>>,
 }
 
 struct Out {
@@ -476,6 +480,7 @@
             out: None,
             released: false,
             over: false,
+            wanted: Rc::new(Cell::new(true)),
         };
         let Asked { name, retry, came_back, session, prefix, .. } = &request.asked;
         let Ask { class, prompt_tokens, shared_tokens, valid_until, .. } = ask;
@@ -573,6 +578,10 @@
     fn member(&mut self, line: &Listed) -> Member {
         let id = HostId(stable(&line.name));
         let host = self.hosts.entry(id).or_insert_with(|| Rc::new(Host::new(&line.name, line.address)));
+        // What was kept to the machine or process before is of no use, and may never say so.
+        if self.members.get(&id).is_some_and(|member| member.last_start != line.last_start) {
+            self.outbound.close_idle(id);
+        }
         host.address.set(line.address);
         host.open.set(line.readiness == Readiness::Up);
         let member = Member {
@@ -672,6 +681,7 @@
             self.requests.get_mut(&id).filter(|r| !r.over).and_then(|r| Some((r.out.as_ref()?.number, r)));
         let Some((number, request)) = out else { return self.finish(id, Some(refusal)) };
         request.parting = Some(refusal);
+        request.wanted.set(false);
         self.outbound.withdraw(AttemptId { request: id, number }, false);
     }
 
@@ -714,6 +724,7 @@
             host: target.clone(),
             expire: self.clock.instant(expire),
             up_by: self.clock.instant(up_by),
+            wanted: request.wanted.clone(),
             delicate: effect == Effect::Unsafe && !reads,
             message: request.asked.message.clone(),
         });
@@ -757,6 +768,7 @@
     fn finish(&mut self, id: RequestId, answer: Option<Answer>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.over = true;
+        request.wanted.set(false);
         let (id, spent) = (&request.asked.name, self.clock.now() - request.arrived);
         tracing::debug!(%id, ?answer, spent, "a request has ended");
         if let (Some(carrier), Some(answer)) = (request.carrier.take(), answer) {
--- a/router/src/upstream/mod.rs
+++ b/router/src/upstream/mod.rs
@@ -34,8 +34,9 @@
 const BODY_MOST: usize = 64 * 1024;
 /// How long a client may read nothing of what waits for it.
 const UNREAD: Duration = Duration::from_secs(30);
-/// How long a writer may take to answer a request for a place.
-const PLACE_WAIT: Duration = Duration::from_secs(1);
+/// How long a writer may take to answer a request for a place. It says after 300 ms that it knows of no read; what it
+/// then holds for nobody must be let go within the same span again.
+const PLACE_WAIT: Duration = Duration::from_millis(500);
 /// How long one server may take to let go before another is asked ...
 const RELEASE_WAIT: Duration = Duration::from_millis(120);
 /// ... and how long this is tried for.
@@ -230,8 +231,7 @@
         self.shared.handle.tell(Happening::Established { attempt, media_type, parts });
         let progress = slot.as_ref().map(|connection| connection.progress().clone());
         let pumped = tokio::select! {
-            () = stalled(progress) => Err(Outcome::Reset),
-            pumped = pump(&mut body, first, sink, self.shared.options.silence) => pumped,
+            pumped = pump(&mut body, first, sink, self.shared.options.silence, progress.as_deref()) => pumped,
             Ok(()) = &mut self.broken_off => Err(Outcome::Cancelled),
         };
         match pumped {
@@ -247,7 +247,9 @@
 }
 
 /// Passes a stream on, unchanged and as it comes, to its end.
-async fn pump(body: &mut Incoming, first: Bytes, sink: Sink, silence: Duration) -> Result<Tail, Outcome> {
+async fn pump(
+    body: &mut Incoming, first: Bytes, sink: Sink, silence: Duration, progress: Option<&WireProgress>,
+) -> Result<Tail, Outcome> {
     let mut tail = Tail::default();
     let mut data = Some(first);
     loop {
@@ -263,6 +265,7 @@
                 Ok(Some(Err(_))) | Err(_) => return Err(Outcome::Reset),
             },
             () = sink.unread() => return Err(Outcome::Cancelled),
+            () = stalled(progress) => return Err(Outcome::Reset),
         }
     }
     // Whoever leaves at the very end has had all of it.
@@ -283,8 +286,8 @@
             false => shared.pool.acquire(&order.host, order.up_by).await,
         };
         let Ok(connection) = connection else { return none() };
-        // A connection may have taken its time: what drains by now is sent nothing more.
-        if !order.host.is_open() {
+        // A connection may have taken its time: what drains by now is sent nothing more, nor is what is over.
+        if !order.host.is_open() || !order.wanted.get() {
             shared.pool.release(connection).await;
             return none();
         }
@@ -308,7 +311,7 @@
         };
         let answer = tokio::select! {
             answer = connection.send(request) => answer,
-            () = progress.stalled() => return Begun::Ended(Outcome::Reset.into()),
+            () = stalled(Some(&*progress)) => return Begun::Ended(Outcome::Reset.into()),
             () = told => return none(),
         };
         match answer {
@@ -325,14 +328,14 @@
     let progress = slot.as_ref().map(|connection| connection.progress().clone());
     tokio::select! {
         begun = answered(shared, answer, slot) => begun,
-        () = stalled(progress) => Begun::Ended(Outcome::Reset.into()),
+        () = stalled(progress.as_deref()) => Begun::Ended(Outcome::Reset.into()),
     }
 }
 
-/// Waits until the answer that comes over a connection does not go on.
-async fn stalled(progress: Option<Rc<WireProgress>>) {
+/// Waits until the answer that comes over a connection does not go on, though it is waited for from now on.
+async fn stalled(progress: Option<&WireProgress>) {
     match progress {
-        Some(progress) => progress.stalled().await,
+        Some(progress) => progress.stalled(Instant::now()).await,
         None => std::future::pending().await,
     }
 }
@@ -366,7 +369,7 @@
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.ok()?.into_data() else { continue };
         held.extend_from_slice(&data);
-        let whole = !events || held.windows(2).any(|two| two == b"\n\n") || held.len() > BODY_MOST;
+        let whole = !events || ends_an_event(&held) || held.len() > BODY_MOST;
         if whole && !held.is_empty() {
             return Some(held.freeze());
         }
@@ -374,6 +377,12 @@
     Some(held.freeze()).filter(|held| !held.is_empty())
 }
 
+/// Whether a blank line is among these bytes, in any of the forms in which events may end.
+fn ends_an_event(bytes: &[u8]) -> bool {
+    let ends: [&[u8]; 3] = [b"\n\n", b"\r\r", b"\r\n\r\n"];
+    ends.iter().any(|end| bytes.windows(end.len()).any(|part| part == *end))
+}
+
 async fn collect<B: Body<Data = Bytes>>(body: B) -> Result<Bytes, Box<dyn std::error::Error + Send + Sync>>
 where
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
--- a/router/src/upstream/pool.rs
+++ b/router/src/upstream/pool.rs
@@ -3,6 +3,9 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::ErrorKind;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +17,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinHandle;
@@ -26,12 +30,17 @@
 const BUFFER_LIMIT: usize = 16 * 1024;
 /// Connections that are kept to a server: each holds a descriptor and buffers.
 const IDLE_LIMIT: usize = 4;
+/// For how long a connection rests before it is used again: a spoilt answer may have a second one some milliseconds
+/// behind it, which the next request would be given.
+pub(super) const REST: Duration = Duration::from_millis(30);
 /// How long a connection may take to finish a message that has been answered before it is kept.
 const SETTLE_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// One connection to a server, used by one request at a time.
 pub struct PooledConnection {
     server: HostId,
+    address: SocketAddr,
+    stream: Rc<RefCell<TcpStream>>,
     sender: SendRequest<Full<Bytes>>,
     progress: Rc<WireProgress>,
     driver: JoinHandle<()>,
@@ -74,8 +83,19 @@
         self.idle.is_some() && self.progress.nothing_written()
     }
 
-    /// Closes the connection and waits until it is closed, so that what is sent next is no second copy.
+    /// Whether the server has said nothing since the last answer and has not closed. Guards against a request that is
+    /// written to a connection whose end, or whose second answer, the system holds and the runtime has not seen yet.
+    fn is_quiet(&self) -> bool {
+        let stream = self.stream.borrow();
+        let mut byte = [MaybeUninit::uninit()];
+        let read = SockRef::from(&*stream).recv(&mut byte);
+        read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Gives an attempt up: closes the connection and waits until it is closed, so that what is sent next is no second
+    /// copy. What the system has not sent yet is dropped: it would arrive beside the next attempt.
     pub async fn close(mut self) {
+        let _ = self.stream.borrow().set_zero_linger();
         self.driver.abort();
         let _ = (&mut self.driver).await;
     }
@@ -112,18 +132,22 @@
 
     /// A connection to the server that is ready for a request, by this instant: a kept one if there is one.
     pub async fn acquire(&self, server: &Host, until: Instant) -> Result<PooledConnection, ConnectError> {
-        match self.acquire_idle(server.id) {
+        match self.acquire_idle(server) {
             Some(connection) => Ok(connection),
             None => self.connect(server, until).await,
         }
     }
 
-    /// A kept connection, the one last used first.
-    fn acquire_idle(&self, server: HostId) -> Option<PooledConnection> {
+    /// A kept connection, of those that have rested the one last used first. One to an address at which the server does
+    /// not listen any more is closed: its machine may have vanished without a word.
+    fn acquire_idle(&self, server: &Host) -> Option<PooledConnection> {
         let mut idle = self.idle.borrow_mut();
-        let kept = idle.get_mut(&server)?;
-        while let Some(IdleConnection { mut connection, since }) = kept.pop() {
-            if since.elapsed() < self.idle_timeout && connection.sender.is_ready() {
+        let kept = idle.get_mut(&server.id)?;
+        kept.retain(|idle| idle.connection.address == server.address());
+        while let Some(rested) = kept.iter().rposition(|idle| idle.since.elapsed() >= REST) {
+            let IdleConnection { mut connection, since } = kept.remove(rested);
+            let usable = since.elapsed() < self.idle_timeout && connection.sender.is_ready();
+            if usable && connection.is_quiet() {
                 connection.idle = Some(since.elapsed());
                 connection.progress.reset();
                 return Some(connection);
@@ -140,16 +164,27 @@
         }
         let permit = self.permits.clone().acquire_owned();
         let permit = timeout_at(until, permit).await.map_err(|_| ConnectError)?.map_err(|_| ConnectError)?;
-        let connect = TcpStream::connect(server.address());
+        let address = server.address();
+        let connect = TcpStream::connect(address);
         let stream = timeout_at(until, connect).await.map_err(|_| ConnectError)?.map_err(|_| ConnectError)?;
         let _ = stream.set_nodelay(true);
+        let stream = Rc::new(RefCell::new(stream));
         let progress = Rc::new(WireProgress::default());
-        let io = TokioIo::new(ObservedStream::new(stream, progress.clone()));
+        let io = TokioIo::new(ObservedStream::new(stream.clone(), progress.clone()));
         let handshake = http1::Builder::new().max_buf_size(BUFFER_LIMIT).handshake(io);
         let (sender, connection) = handshake.await.map_err(|_| ConnectError)?;
         // How it ended shows at the request that it carried.
         let driver = tokio::task::spawn_local(async move { drop(connection.await) });
-        Ok(PooledConnection { server: server.id, sender, progress, driver, idle: None, _permit: permit })
+        Ok(PooledConnection {
+            server: server.id,
+            address,
+            stream,
+            sender,
+            progress,
+            driver,
+            idle: None,
+            _permit: permit,
+        })
     }
 
     /// Keeps a connection whose request has been answered in full, if it stays usable: guards against a second
--- a/router/src/upstream/pool/tests.rs
+++ b/router/src/upstream/pool/tests.rs
@@ -1,5 +1,7 @@
+use std::io::{Read, Write};
+
 use super::*;
-use cranetack_standins::{run, Behaviour, Worker};
+use cranetack_standins::{run, run_paused, Behaviour, Worker};
 
 /// Guards against descriptors and buffers held for connections that a burst has left behind.
 #[test]
@@ -19,3 +21,70 @@
         assert_eq!(pool.available(), 9 - IDLE_LIMIT);
     });
 }
+
+/// A pool, a server whose connections the test drives without the runtime, and a connection that has been answered and
+/// kept there.
+async fn with_kept_connection() -> (ConnectionPool, Host, std::net::TcpStream) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let server = Host::new("a", listener.local_addr().unwrap());
+    let pool = ConnectionPool::new(9, Duration::from_secs(1), Duration::from_secs(60));
+    let connection = pool.connect(&server, Instant::now() + Duration::from_secs(9)).await.unwrap();
+    let (accepted, _) = listener.accept().unwrap();
+    pool.release(connection).await;
+    (pool, server, accepted)
+}
+
+/// Guards against a second answer some milliseconds behind a spoilt one, which the next request would be given.
+#[test]
+fn a_connection_rests_before_it_is_used_again() {
+    run_paused(async {
+        let (pool, server, _accepted) = with_kept_connection().await;
+        assert!(pool.acquire_idle(&server).is_none());
+        tokio::time::advance(REST).await;
+        assert!(pool.acquire_idle(&server).is_some());
+    });
+}
+
+/// Guards against a request that is written to a connection on which something waits that the runtime has not seen: the
+/// rest of an answer, or the connection's end.
+#[test]
+fn a_connection_is_not_used_once_its_server_has_said_something_or_closed() {
+    for said in [Some("HTTP/1.1 200 OK\r\n"), None] {
+        run_paused(async {
+            let (pool, server, accepted) = with_kept_connection().await;
+            tokio::time::advance(REST).await;
+            match said {
+                Some(text) => (&accepted).write_all(text.as_bytes()).unwrap(),
+                None => accepted.shutdown(std::net::Shutdown::Both).unwrap(),
+            }
+            assert!(pool.acquire_idle(&server).is_none(), "{said:?}");
+        });
+    }
+}
+
+/// Guards against a request that is written to a machine that has vanished, while its server is back at another address.
+#[test]
+fn a_connection_to_a_former_address_is_not_used() {
+    run_paused(async {
+        let (pool, server, _accepted) = with_kept_connection().await;
+        tokio::time::advance(REST).await;
+        let moved = Host::new("a", "127.0.0.1:1".parse().unwrap());
+        assert_eq!(moved.id, server.id);
+        assert!(pool.acquire_idle(&moved).is_none());
+    });
+}
+
+/// Guards against an attempt that was given up and arrives later beside the next one: what the system holds is dropped.
+#[test]
+fn an_attempt_that_is_given_up_is_reset() {
+    run(async {
+        let pool = ConnectionPool::new(9, Duration::from_secs(1), Duration::from_secs(60));
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let server = Host::new("a", listener.local_addr().unwrap());
+        let connection = pool.connect(&server, Instant::now() + Duration::from_secs(9)).await.unwrap();
+        let (mut accepted, _) = listener.accept().unwrap();
+        connection.close().await;
+        let ended = accepted.read(&mut [0]).unwrap_err();
+        assert_eq!(ended.kind(), ErrorKind::ConnectionReset);
+    });
+}
--- a/router/src/upstream/progress.rs
+++ b/router/src/upstream/progress.rs
@@ -114,13 +114,14 @@
         Ok(())
     }
 
-    /// Waits until an answer that has begun does not go on: it is spoilt.
-    pub async fn stalled(&self) {
+    /// Waits until an answer that has begun does not go on, though somebody has waited for it since `waiting_since`: it
+    /// is spoilt. While nobody waits, nothing is read, which says nothing of the server.
+    pub async fn stalled(&self, waiting_since: Instant) {
         loop {
             let now = Instant::now();
-            match self.partial_since.get() {
-                Some(since) if now >= since + STALL_TIMEOUT => return,
-                Some(since) => sleep_until(since + STALL_TIMEOUT).await,
+            match self.partial_since.get().map(|since| since.max(waiting_since) + STALL_TIMEOUT) {
+                Some(due) if now >= due => return,
+                Some(due) => sleep_until(due).await,
                 None => sleep_until(now + STALL_TIMEOUT).await,
             }
         }
@@ -155,30 +156,28 @@
 
 /// A connection's stream whose progress is noted.
 pub struct ObservedStream {
-    stream: TcpStream,
+    stream: Rc<RefCell<TcpStream>>,
     progress: Rc<WireProgress>,
 }
 
 impl ObservedStream {
     /// Notes what passes over `stream`.
-    pub fn new(stream: TcpStream, progress: Rc<WireProgress>) -> ObservedStream {
+    pub fn new(stream: Rc<RefCell<TcpStream>>, progress: Rc<WireProgress>) -> ObservedStream {
         ObservedStream { stream, progress }
     }
 }
 
 impl AsyncRead for ObservedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        let read = ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf));
         Poll::Ready(read.and_then(|()| self.progress.on_read(&buf.filled()[before..])))
     }
 }
 
 impl AsyncWrite for ObservedStream {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, buf);
         if let Poll::Ready(Ok(length)) = &written {
             self.progress.on_written(&buf[..*length]);
         }
@@ -186,12 +185,12 @@
     }
 
     // Vectored writing is left off: hyper then joins head and body, and one count serves both.
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
     }
 }
 
--- a/router/src/upstream/reply.rs
+++ b/router/src/upstream/reply.rs
@@ -29,6 +29,8 @@
             (StatusCode::OK, _) => Reply::Stream,
             (StatusCode::ACCEPTED, _) => Reply::Read,
             (StatusCode::GONE, true) => Reply::Ended(Outcome::Full, 1),
+            // An error may have run, whatever else it says.
+            (StatusCode::INTERNAL_SERVER_ERROR, _) => Reply::Ended(Outcome::Bad, 0),
             (_, true) => Reply::Ended(Outcome::Full, 0),
             (_, false) => Reply::Ended(Outcome::Bad, 0),
         }
@@ -115,6 +117,7 @@
             (200, &none, Reply::Stream),
             (202, &none, Reply::Read),
             (500, &none, Reply::Ended(Outcome::Bad, 0)),
+            (500, &not_run, Reply::Ended(Outcome::Bad, 0)),
             (503, &none, Reply::Ended(Outcome::Bad, 0)),
             (503, &not_run, Reply::Ended(Outcome::Full, 0)),
             (504, &not_run, Reply::Ended(Outcome::Full, 0)),
--- a/router/tests/core.rs
+++ b/router/tests/core.rs
@@ -31,6 +31,8 @@
     panics: Rc<Cell<bool>>,
     /// By when the attempt made last must have a connection.
     up_by: Rc<Cell<Option<Instant>>>,
+    /// Whether the request of the attempt made last still wants an answer.
+    wanted: Rc<RefCell<Rc<Cell<bool>>>>,
     /// The servers through which something was let go last, in the order in which they are tried.
     through: Rc<RefCell<Vec<String>>>,
 }
@@ -49,6 +51,7 @@
     fn send(&mut self, order: Order) {
         assert!(!self.panics.take(), "a panic on purpose");
         self.up_by.set(Some(order.up_by));
+        self.wanted.replace(order.wanted.clone());
         self.note(Told::Send(order.attempt, order.host.name.clone()));
     }
     fn withdraw(&mut self, attempt: AttemptId, _streaming: bool) {
@@ -183,6 +186,30 @@
     assert_eq!(bench.notes.take(), [Told::Release("q".to_owned())]);
 }
 
+/// Guards against an attempt that is written after its request has ended, as its connection came up late: also where
+/// the settings do not let attempts be called off.
+#[tokio::test(start_paused = true)]
+async fn an_attempt_that_is_not_written_yet_sees_that_its_request_has_ended() {
+    let mut bench = Bench::new(Effect::Safe);
+    let caller = bench.ask();
+    assert!(bench.notes.wanted.borrow().get());
+    drop(caller);
+    bench.drain();
+    assert!(!bench.notes.wanted.borrow().get());
+}
+
+/// Guards against connections to a process that has gone, whose machine may have vanished without a word.
+#[tokio::test(start_paused = true)]
+async fn a_server_that_has_started_anew_has_its_kept_connections_closed() {
+    let mut bench = Bench::new(Effect::Safe);
+    let reader = Host::new("reader", "127.0.0.1:1".parse().unwrap()).id;
+    for (last_start, told) in [(None, vec![]), (Some(7), vec![Told::Closed(reader)]), (Some(7), vec![])] {
+        let line = Listed { last_start, ..listed("reader", 0, Readiness::Up) };
+        bench.core.handle(Happening::Members(ListForm::Patch, vec![line]));
+        assert_eq!(bench.notes.take(), told, "{last_start:?}");
+    }
+}
+
 /// Guards against a place that stays held: the writer's answer crossed the end of the request.
 #[tokio::test(start_paused = true)]
 async fn a_place_granted_after_the_end_is_released() {
--- a/router/tests/platform.rs
+++ b/router/tests/platform.rs
@@ -206,6 +206,8 @@
         for round in 0..4 {
             let (status, ..) = client.ask(&format!("r{round}"), "order", 400).await;
             assert_eq!(status, 200, "round {round}");
+            // A connection rests for 30 ms before it is used again.
+            tokio::time::sleep(Duration::from_millis(40)).await;
         }
         assert_eq!((reader.began(CHAT), writer.began(CHAT)), (4, 4));
     });
