Keep a lane's writer where no place can be asked for, and probe readers in turn

Of 621 late or unanswered requests, most had been sent to six servers of 100: in cell 10, of four readers and two writers, each writer got 152 requests where others got 68 on average, and one mixed server 141, of which 74 % were late. Ruled out: lanes that pair within skewed cells only: the lane score did choose writers of other cells (paired()). Lines at fault: policy.rs, choose_writer chose anew within the reader's cell unless a place was held, which this deployment does not allow: all 305 reads of cell 10 were written there. And look() probed the first reader alone: the second choice went unprobed. Change: a read's place is its lane's writer, whether or not it can be asked for; up to three readers are probed for a request, as far as the probes of its requests go. Tests: lanes.rs, both seen to fail without the change.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -29,6 +29,7 @@
 const HOMES: f64 = 2.0; // homes of an opening for each reader that its share of requests would fill
 const SHARES_LEAST: f64 = 45.0; // requests of which that share is taken at least: one of a few tells little
 const REFUSED_FOR: Micros = 1_000_000; // span for which a writer that refused a place counts as full (us)
+const LOOKS_MOST: u32 = 3; // readers probed for a request in turn
 const PLACES_MOST: u32 = 3; // places asked for in a read
 const KEPT_MOST: usize = 2_000; // most kept shares remembered for a server
 const TICK: Micros = 50_000; // span between two looks at timers, probes and waiting requests (us)
@@ -130,6 +131,7 @@
     look: Option<(HostId, Micros)>,  // the reader probed for it, and until when it waits for the report
     place: Option<HostId>,
     places: u32,
+    looks: u32,
     holds: bool,
     ended: bool,
     ran: Option<(HostId, Micros)>, // where and when it may first have run
@@ -278,21 +280,18 @@
         }
         self.pace.probes = (self.pace.probes + PROBES_AN_ASK).min(4.0 * PROBES_AN_ASK);
         self.out.push(Action::Sleep { at: self.last_call(&ask), key: KEY_REQUEST + u64::from(ask.id.0) });
-        self.look(ask.id);
         self.advance_waiting();
     }
 
-    /// Probes the reader that a request would go to and waits for its report. Guards against readers that
-    /// jammed unseen, also silent and restarted ones. It could hurt where probes are served in turn.
-    fn look(&mut self, id: RequestId) {
-        let may = self.settings.probing && self.pace.probes >= 1.0;
-        let Some((reader, _)) = Some(id).filter(|_| may).and_then(|id| self.choose_lane(id)) else { return };
+    /// Probes the reader that a request would go to and waits for its report: it may have jammed unseen.
+    fn look(&mut self, id: RequestId, reader: HostId) -> bool {
         let old = self.hosts[&reader].load.is_none_or(|(at, _)| self.now >= at + LOOK_AGE);
-        if old && self.probe(reader) {
-            let until = self.now + LOOK_FOR;
-            self.requests.entry(id).and_modify(|r| r.look = Some((reader, until)));
-            self.out.push(Action::Sleep { at: until, key: KEY_REQUEST + u64::from(id.0) });
+        let looks = old && self.requests[&id].looks < LOOKS_MOST && self.probe(reader);
+        if let Some(request) = self.requests.get_mut(&id).filter(|_| looks) {
+            (request.look, request.looks) = (Some((reader, self.now + LOOK_FOR)), request.looks + 1);
+            self.out.push(Action::Sleep { at: self.now + LOOK_FOR, key: KEY_REQUEST + u64::from(id.0) });
         }
+        looks
     }
 
     fn aim_span(&self, ask: &Ask) -> Micros {
@@ -453,8 +452,7 @@
         }
     }
 
-    /// Whether the `turn`-th that waits may still be answered in time. Guards against requests that lie here
-    /// in vain: clients could ask elsewhere. It could hurt where room opens all at once after a stop.
+    /// Whether the `turn`-th that waits may still be answered in time: else its client could ask elsewhere.
     fn has_chance(&self, ask: &Ask, turn: usize) -> bool {
         let wait = self.room_wait(turn) as f64 + self.pace.lead / LEAD_SAFETY * FAIR_LEAD;
         self.now as f64 + wait < self.last_call(ask) as f64
@@ -487,7 +485,9 @@
                 self.send(id, writer, Stage::Write, None);
             }
         } else if let Some((reader, writer)) = self.choose_lane(id) {
-            if reader == writer {
+            if self.look(id, reader) {
+                return;
+            } else if reader == writer {
                 self.send(id, reader, Stage::Both, None);
             } else if self.send(id, reader, Stage::Read, Some(writer)) {
                 self.earmark(id, writer);
@@ -514,6 +514,7 @@
         request.attempts += 1;
         request.first_sent.get_or_insert(self.now);
         request.holds = true;
+        request.place = toward.or(request.place); // its lane's writer, also where no place can be asked for
         toward.and_then(|w| self.hosts.get_mut(&w)).into_iter().for_each(|w| w.coming += 1.0);
         self.waiting.remove(&id);
         if stage != Stage::Write {
--- a/tests/lanes.rs
+++ b/tests/lanes.rs
@@ -93,3 +93,50 @@
     let later: Vec<Action> = front.pass(SECOND / 10).into_iter().map(|(_, a)| a).collect();
     assert_eq!(routes(&later), vec![(1, 3 - home)], "one that does not answer a probe soon is passed over");
 }
+
+/// Guards against a reader that has jammed unseen behind another one: each that a request would go to is probed in turn,
+/// as far as there are probes to spend.
+#[test]
+fn the_reader_that_is_next_in_line_is_probed_as_well() {
+    let settings = Settings { probing: true, reporting: Reporting::OnProbe, ..settings(Effect::Safe) };
+    let members = vec![member(1, 0, 0), member(2, 0, 0), member(3, 0, 0), member(4, 1, 0)];
+    let (mut front, _) = Front::new(settings, members);
+    let touched = |actions: &[Action]| {
+        let touch = |a: &Action| if let Action::Touch(host) = a { Some(host.0) } else { None };
+        actions.iter().find_map(touch)
+    };
+    let first = touched(&front.ask(ask(1, front.now))).unwrap();
+    assert_eq!(
+        routes(&front.on(probed(first, load(100.0, 0.0, 0.0)))).len(),
+        1,
+        "one probe a request and a half"
+    );
+    let second = touched(&front.ask(ask(2, front.now))).unwrap();
+    assert_ne!(second, first);
+    let third = 6 - first - second;
+    let actions = front.on(probed(second, load(100.0, 0.0, 0.0)));
+    assert_eq!((touched(&actions), routes(&actions)), (Some(third), vec![]));
+    assert_eq!(routes(&front.on(probed(third, load(0.0, 0.0, 0.0)))), vec![(2, third)]);
+}
+
+/// Guards against writers that jam in a cell with many readers, where no places can be asked for: the lane's writer may
+/// be of another cell, and the state goes there.
+#[test]
+fn a_state_goes_to_its_lanes_writer_though_no_place_was_asked_for() {
+    const READERS: [u64; 5] = [1, 2, 3, 4, 5];
+    const WRITERS: [u64; 4] = [11, 15, 16, 17];
+    // Cell 1 has four readers and one writer, cell 2 one reader and three writers.
+    let cell = |host: u64| if host % 10 < 5 { 1 } else { 2 };
+    let server = |host: &u64| member(*host, usize::from(*host > 10), cell(*host));
+    let members = READERS.iter().chain(&WRITERS).map(server).collect();
+    let (mut front, _) = Front::new(Settings { earmarks: false, ..settings(Effect::Safe) }, members);
+    let mut written = std::collections::BTreeMap::new();
+    for id in 1..=200 {
+        let reader = routes(&front.ask(ask(id, front.now)))[0].1;
+        let writer = routes(&front.on(result(id, 0, reader, Outcome::HalfDone)))[0].1;
+        *written.entry(writer).or_insert(0) += 1;
+        front.on(result(id, 1, writer, Outcome::Good));
+        front.pass(SECOND / 10);
+    }
+    assert!(written[&11] < 100, "{written:?}");
+}
