--- a/src/policy.rs
+++ b/src/policy.rs
@@ -485,11 +485,10 @@
                 self.send(id, writer, Stage::Write, None);
             }
         } else if let Some((reader, writer)) = self.choose_lane(id) {
-            if self.look(id, reader) {
-                return;
-            } else if reader == writer {
+            let looks = self.look(id, reader);
+            if !looks && reader == writer {
                 self.send(id, reader, Stage::Both, None);
-            } else if self.send(id, reader, Stage::Read, Some(writer)) {
+            } else if !looks && self.send(id, reader, Stage::Read, Some(writer)) {
                 self.earmark(id, writer);
             }
         }
