Heed signals during the start, take no older list, and end after the last release

Found by reading the pairs of shutdown and discovery. A SIGHUP until then ended the program, and one that came between reading and following would have been missed. They are installed first, and a hangup is kept until it is heeded.

--- a/router/src/discovery.rs
+++ b/router/src/discovery.rs
@@ -220,7 +220,10 @@
             }
         };
         tokio::select! {
-            () = moved => tracing::info!("discovery has moved"),
+            () = moved => {
+                tracing::info!("discovery has moved");
+                pace.succeeded(); // the failures were another address's
+            }
             () = follow(|| connect(at), known.take(), &facts, &handle, &fresh, &mut pace) => {}
         }
     }
@@ -243,8 +246,18 @@
                     Ok(list) => list,
                     Err(failure) => break failure,
                 };
-                index = Some(list.index);
                 pace.succeeded();
+                // One that lags, or a service that began anew: what it has is asked for whole, which counts.
+                if index.is_some_and(|known| list.index < known) {
+                    tracing::info!(
+                        known = index,
+                        list.index,
+                        "an older list has come: the whole one is asked for"
+                    );
+                    (index, hold) = (None, Duration::ZERO);
+                    continue;
+                }
+                index = Some(list.index);
                 hold = pace.hold();
                 let form = if list.snapshot { ListForm::Whole } else { ListForm::Patch };
                 // Every answer continues the watch; only those with news concern the core.
--- a/router/src/discovery/tests.rs
+++ b/router/src/discovery/tests.rs
@@ -1,6 +1,6 @@
 //! How often discovery is called, over paused clocks.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
 
@@ -243,3 +243,65 @@
     let [up, draining] = [Readiness::Up, Readiness::Draining];
     assert_eq!(read, [("good", 1, up), ("good", 4, draining), ("last", 5, up)]);
 }
+
+/// An agent that answers each call with the next of these lists, and notes what it is asked.
+async fn serve_script(
+    mut stream: tokio::io::DuplexStream, mut script: VecDeque<&'static str>, asked: Rc<RefCell<Vec<String>>>,
+) {
+    let mut head = Vec::new();
+    while let Ok(byte) = stream.read_u8().await {
+        head.push(byte);
+        if !head.ends_with(b"\r\n\r\n") {
+            continue;
+        }
+        let request = String::from_utf8(std::mem::take(&mut head)).unwrap();
+        asked.borrow_mut().push(request.split(' ').nth(1).unwrap().to_owned());
+        let Some(list) = script.pop_front() else { return std::future::pending().await };
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{list}", list.len());
+        stream.write_all(answer.as_bytes()).await.unwrap();
+    }
+}
+
+/// Guards against an old answer after a newer one, by which a server that drains would seem to be up: it is not taken,
+/// and the whole list is asked for, which is what the service has now, also where its versions began anew.
+#[tokio::test(start_paused = true)]
+async fn an_older_list_is_not_taken_and_the_whole_one_is_asked_for_at_once() {
+    const LINE: &str = r#"{"name": "s", "address": "127.0.0.1:1", "zone": "a", "type": "m", "status": "#;
+    let list = |index: u64, status: &str| {
+        let text = format!(r#"{{"index": {index}, "snapshot": true, "endpoints": [{LINE}"{status}"}}]}}"#);
+        &*Box::leak(text.into_boxed_str())
+    };
+    let script = VecDeque::from([list(7, "draining"), list(3, "up"), list(2, "draining")]);
+    let asked = Rc::new(RefCell::new(Vec::new()));
+    let facts: Facts = serde_json::from_str(r#"{"classes": [], "kinds": ["m"], "zones": ["a"]}"#).unwrap();
+    let (handle, mut happenings) = Handle::new();
+    let agent = || {
+        let (ours, theirs) = tokio::io::duplex(1 << 16);
+        tokio::task::spawn_local(serve_script(theirs, script.clone(), asked.clone()));
+        open(ours)
+    };
+    let (fresh, _) = watch::channel(false);
+    let mut pace = Pace::new(Some(1), None, 1);
+    let mut heard = Vec::new();
+    let hearing = async {
+        while heard.len() < 2 {
+            if let Some(Happening::Members(_, lines)) = happenings.recv().await {
+                heard.push(lines[0].readiness);
+            }
+        }
+    };
+    let following = follow(agent, Some(5), &facts, &handle, &fresh, &mut pace);
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            tokio::select! {
+                () = following => unreachable!("it follows for ever"),
+                () = hearing => {}
+            }
+        })
+        .await;
+    assert_eq!(heard, [Readiness::Draining, Readiness::Draining]);
+    assert_eq!(asked.borrow()[0], "/discovery/hosts?from=5&hold_ms=0");
+    assert!(asked.borrow()[1].starts_with("/discovery/hosts?from=7&hold_ms="));
+    assert_eq!(asked.borrow()[2], "/discovery/hosts");
+}
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -25,8 +25,10 @@
 use cranetack::ListForm;
 use cranetack_facts::ClassFacts;
 use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
+use tokio::time::timeout;
 
 use crate::config::Config;
 use crate::core::{Clock, Core, Handle, Happening};
@@ -58,8 +60,10 @@
 const FRESH_WAIT: Duration = Duration::from_millis(1_500);
 /// Descriptors for all but connections of clients and workers: listeners, discovery, logs and the runtime.
 const SPARE: usize = 32;
-/// After the last answer, for letting go of what is held for requests that were given up at the end.
-const LET_GO: Duration = Duration::from_millis(100);
+/// After the last answer, until what is held for requests that were given up at the end is known to be let go of ...
+const LAST_EVENTS: Duration = Duration::from_millis(50);
+/// ... and for that, at most.
+const LAST_RELEASES: Duration = Duration::from_millis(250);
 /// Clients' connections at most, whatever the descriptors: each may hold a body of 256 KiB, and a buffer.
 const CLIENTS_MOST: usize = 384;
 /// How long a stream may be silent before it counts as broken: a machine that has vanished says nothing. Clients are not
@@ -84,17 +88,18 @@
     pub discovery: Option<watch::Receiver<SocketAddr>>,
 }
 
+/// A runtime on which a router can run.
+pub fn runtime() -> Result<Runtime, StartError> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(StartError::Runtime)
+}
+
 /// Runs a router on this thread until `signal` completes and all that it has taken is answered.
-pub fn run<F>(
-    config: Config, extras: impl FnOnce() -> Extras, signal: impl FnOnce() -> F,
-) -> Result<(), StartError>
-where
-    F: Future<Output = ()> + 'static,
-{
-    let runtime =
-        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(StartError::Runtime)?;
-    LocalSet::new().block_on(&runtime, async {
-        Router::bind(config, extras()).await?.serve(signal()).await;
+pub fn run(
+    runtime: &Runtime, config: Config, extras: impl FnOnce() -> Extras,
+    signal: impl Future<Output = ()> + 'static,
+) -> Result<(), StartError> {
+    LocalSet::new().block_on(runtime, async {
+        Router::bind(config, extras()).await?.serve(signal).await;
         Ok(())
     })
 }
@@ -176,6 +181,7 @@
             report: config.facts.report.clone(),
         };
         let outbound = Upstream::new(handle.clone(), options, peers);
+        let mut releases = outbound.releases();
         let settings = config.settings.clone();
         let core = Core::new(config.settings, config.seed, Clock::system(), outbound);
         spawn_local(core.run(happenings));
@@ -232,8 +238,9 @@
         // Proxies subscribe for as long as they live; nothing that was taken depends on them.
         control.inspect(tokio::task::JoinHandle::abort);
         tracing::info!("all that was taken has been answered");
-        if moves {
-            tokio::time::sleep(LET_GO).await;
+        tokio::time::sleep(LAST_EVENTS).await;
+        if timeout(LAST_RELEASES, releases.wait_for(|running| *running == 0)).await.is_err() {
+            tracing::warn!("the router ends before all that was held has been let go");
         }
     }
 }
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -6,7 +6,9 @@
 
 use clap::{Args, Parser, Subcommand};
 use cranetack_router::config::{self, load_toml, Config, ConfigError};
-use cranetack_router::{control, front::inference, shutdown, tenants, Extras};
+use cranetack_router::shutdown::Signals;
+use cranetack_router::{control, front::inference, tenants, Extras};
+use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 
 /// A router for a model service whose prompts are read and answers written by different servers.
@@ -90,17 +92,12 @@
 }
 
 /// Where discovery answers, by the configuration as it is read again at each SIGHUP. To be called on the runtime.
-fn follow(path: PathBuf, first: SocketAddr) -> impl FnOnce() -> watch::Receiver<SocketAddr> {
-    move || {
-        let (address, changes) = watch::channel(first);
-        match shutdown::hangups() {
-            Ok(mut hangups) => drop(tokio::task::spawn_local(async move {
-                config::follow(&path, async || hangups.recv().await, address).await;
-            })),
-            Err(error) => tracing::error!(%error, "SIGHUP cannot be heard"),
-        }
-        changes
-    }
+fn follow(path: PathBuf, first: SocketAddr, mut hangup: Signal) -> watch::Receiver<SocketAddr> {
+    let (address, changes) = watch::channel(first);
+    tokio::task::spawn_local(async move {
+        config::follow(&path, async || hangup.recv().await, address).await;
+    });
+    changes
 }
 
 /// Runs the suite; whether all passed.
@@ -149,13 +146,19 @@
             let filter = tracing_subscriber::EnvFilter::try_from_env("CRANETACK_LOG")
                 .unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
             tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).init();
+            let runtime = cranetack_router::runtime()?;
+            let Signals { hangup, termination } = {
+                let _guard = runtime.enter();
+                Signals::install()?
+            };
             let Loaded { config, inference, tenants, control } = files.load()?;
-            let discovery = follow(files.config, config.discovery);
+            let first = config.discovery;
             let extras = || {
                 let tenants = tenants.map(tenants::Tenants::follow);
-                Extras { inference, tenants, control, discovery: Some(discovery()) }
+                let discovery = Some(follow(files.config, first, hangup));
+                Extras { inference, tenants, control, discovery }
             };
-            cranetack_router::run(config, extras, shutdown::terminated)?;
+            cranetack_router::run(&runtime, config, extras, termination.requested())?;
             Ok(true)
         }
         Command::CheckConfig(files) => {
--- a/router/src/shutdown.rs
+++ b/router/src/shutdown.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 
 /// For how long connections are accepted after the signal: those that send them here need to notice.
@@ -51,22 +52,38 @@
     let _ = phase.wait_for(|p| *p >= wanted).await;
 }
 
-/// Waits until the program is asked to end.
-pub async fn terminated() {
-    use tokio::signal::unix::{signal, SignalKind};
-    match (signal(SignalKind::terminate()), signal(SignalKind::interrupt())) {
-        (Ok(mut term), Ok(mut int)) => {
-            tokio::select! {
-                _ = term.recv() => {}
-                _ = int.recv() => {}
-            }
-        }
-        // Without handlers the signals end the program at once, as the system does by default.
-        _ => std::future::pending().await,
+/// The signals that the program heeds. To be installed before anything else: until then a signal ends the program at
+/// once, as the system does by default, and one that comes while the files are read must not be missed.
+pub struct Signals {
+    /// SIGHUP: the configuration is to be read again.
+    pub hangup: Signal,
+    /// SIGTERM or SIGINT: the program is to end.
+    pub termination: Termination,
+}
+
+/// The signals by which the program is asked to end. Once it has been, further ones change nothing.
+pub struct Termination {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    /// Installs the handlers. Must be called within a runtime.
+    pub fn install() -> std::io::Result<Signals> {
+        let termination = Termination {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        };
+        Ok(Signals { hangup: signal(SignalKind::hangup())?, termination })
     }
 }
 
-/// Where hangups (SIGHUP) come out from now on. Without a handler the first would end the program.
-pub fn hangups() -> std::io::Result<tokio::signal::unix::Signal> {
-    tokio::signal::unix::signal(tokio::signal::unix::SignalKind::hangup())
+impl Termination {
+    /// Waits until the program is asked to end.
+    pub async fn requested(mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
 }
--- a/router/src/upstream/mod.rs
+++ b/router/src/upstream/mod.rs
@@ -68,6 +68,8 @@
 
 struct Shared {
     handle: Handle,
+    /// How many releases have not ended.
+    releases: watch::Sender<usize>,
     pool: ConnectionPool,
     options: Options,
 }
@@ -85,7 +87,7 @@
     /// A client side that reports to this handle. Must be called within a `LocalSet`.
     pub fn new(handle: Handle, options: Options, peers: Option<Peers>) -> Upstream {
         let pool = ConnectionPool::new(options.connection_limit, options.connect_timeout, options.idle_close);
-        let shared = Rc::new(Shared { handle, pool, options });
+        let shared = Rc::new(Shared { handle, releases: watch::Sender::new(0), pool, options });
         let weak = Rc::downgrade(&shared);
         tokio::task::spawn_local(async move {
             while let Some(shared) = weak.upgrade() {
@@ -98,6 +100,13 @@
     }
 }
 
+impl Upstream {
+    /// How many releases have not ended.
+    pub fn releases(&self) -> watch::Receiver<usize> {
+        self.shared.releases.subscribe()
+    }
+}
+
 impl Outbound for Upstream {
     fn send(&mut self, order: Order) {
         let (withdraw, withdrawn) = oneshot::channel();
@@ -136,7 +145,11 @@
 
     fn release(&mut self, _request: RequestId, name: Rc<str>, hosts: Vec<Rc<Host>>) {
         let shared = self.shared.clone();
-        tokio::task::spawn_local(async move { shared.let_go(&name, &hosts).await });
+        shared.releases.send_modify(|running| *running += 1);
+        tokio::task::spawn_local(async move {
+            shared.let_go(&name, &hosts).await;
+            shared.releases.send_modify(|running| *running -= 1);
+        });
     }
 
     fn probe(&mut self, host: Rc<Host>) {
--- a/router/tests/races.rs
+++ b/router/tests/races.rs
@@ -7,7 +7,7 @@
 
 use common::{
     chunk, line, run, run_paused, settings, Bed, Behaviour, End, ManualConnection, ManualServer, Worker,
-    DONE, EVENT, FINISH, LAST_CHUNK, STREAM_HEAD,
+    DONE, EVENT, FINISH, LAST_CHUNK, READ, STREAM_HEAD,
 };
 use cranetack_router::shutdown;
 use serde_json::Value;
@@ -248,3 +248,33 @@
         });
     }
 }
+
+/// Guards against state that stays held because the program ended first: what was held for its last request is let go.
+#[test]
+fn the_program_ends_after_what_was_held_for_its_last_request_is_let_go() {
+    run(async {
+        let (reader, writer) = (ManualServer::start().await, ManualServer::start().await);
+        let mut settings = plain_settings();
+        settings["classes"][3]["deadline_us"] = 1_000_000.into();
+        let lines = vec![reader.line("reader", "up"), writer.line("writer", "up")];
+        let mut bed = Bed::start_set(lines, None, settings).await;
+        let mut client = ManualConnection::connect(bed.platform).await;
+        client.send(&request("j1", "order", "", "{}")).await;
+        let (mut read, _) = reader.accept_request().await;
+        bed.stop.take().unwrap().send(()).unwrap();
+        // Past the time for new connections, the state is read and its writer fails: the last answer is out at once.
+        tokio::time::sleep(shutdown::ACCEPT_FOR + Duration::from_millis(100)).await;
+        read.send(READ).await;
+        let (write, _) = writer.accept_request().await;
+        tokio::time::sleep(Duration::from_millis(50)).await; // the reader's connection has rested, and is used again
+        write.reset();
+        client.until("HTTP/1.1 502 ").await;
+        drop(client);
+        let release = read.request().await;
+        assert!(release.starts_with("DELETE /bootstrap/rooms/j1 "), "{release}");
+        let ended = timeout(Duration::from_millis(100), &mut bed.stopped).await;
+        assert!(ended.is_err(), "it waits for the answer");
+        read.send("HTTP/1.1 204 No Content\r\n\r\n").await;
+        bed.stopped.await.unwrap();
+    });
+}
