--- a/facts/src/lib.rs
+++ b/facts/src/lib.rs
@@ -1,11 +1,15 @@
 //! The settings object that a dispatcher is given: the same on the simulator's wire and in a router's
 //! configuration file.
 
+mod check;
+
 use std::time::Duration;
 
 use cranetack::{Class, Effect, KeyScope, Kind, Reporting, Settings, Stage, ZoneId};
 use serde::Deserialize;
 
+pub use check::OutOfRange;
+
 /// The settings of one dispatcher.
 #[derive(Deserialize, Clone)]
 pub struct Facts {
@@ -146,8 +150,9 @@
         self.report.pending_column = pending;
     }
 
-    /// The settings in the decision module's own types.
+    /// The settings in the decision module's own types; an error names the key that cannot be used.
     pub fn settings(&self) -> Result<Settings, String> {
+        check::check(self).map_err(|error| error.to_string())?;
         let classes = self.classes.iter().enumerate().map(|(i, c)| self.class(i, c));
         let kinds = (0..self.kinds.len()).map(|i| self.kind(i));
         Ok(Settings {
--- /dev/null
+++ b/facts/tests/settings.rs
@@ -0,0 +1,68 @@
+//! Settings that cannot be meant are refused, naming the key; those that are missing have defaults.
+
+use cranetack_facts::Facts;
+use serde_json::{json, Value};
+
+fn settings() -> Value {
+    json!({
+        "balancers": 3, "me": 0, "az": "a", "zones": ["a"], "kinds": ["r", "w"], "period_us": 4000,
+        "classes": [{"name": "c", "idempotency": "keyed", "key_scope": "zone", "deadline_us": 5e6,
+            "goal_time_us": 1e6, "dedup_window_us": 5e6, "points": 1.0}],
+        "allowed": {"connect_timeout_us": 250_000, "idle_close_us": 15e6, "max_attempts": 4, "max_retry_after_us": 1e6},
+        "domain": {"pin_limit_us": 300_000, "stage_of_kind": ["read", "write"], "kv_tokens": [1e5, 1e5],
+            "aim_us_per_1000_prompt_tokens": [4e4], "token_aim_us": [6e4]},
+        "rules": {"answer_slack_us": 16_000, "ask_within_us": 1e7, "fall_multiple": 4.0, "fall_us": 3e6,
+            "start_capacity": 0.26, "warm_up_us": 1.2e7}
+    })
+}
+
+/// What the settings are refused with, if they are.
+fn refused(settings: Value) -> Option<String> {
+    let facts: Facts = serde_json::from_value(settings).unwrap();
+    facts.settings().err()
+}
+
+#[test]
+fn each_figure_that_cannot_be_meant_is_refused_naming_its_key() {
+    assert_eq!(refused(settings()), None);
+    let figures = [
+        ("/period_us", "period_us", vec![0.0, -1.0, 1e30]),
+        ("/classes/0/deadline_us", "classes[0].deadline_us", vec![0.0, -5.0, 1e18]),
+        ("/classes/0/goal_time_us", "classes[0].goal_time_us", vec![-1.0]),
+        ("/classes/0/dedup_window_us", "classes[0].dedup_window_us", vec![-1.0, 1e19]),
+        ("/classes/0/points", "classes[0].points", vec![-2.0]),
+        ("/allowed/connect_timeout_us", "allowed.connect_timeout_us", vec![0.0, -250.0]),
+        ("/allowed/idle_close_us", "allowed.idle_close_us", vec![-1.0]),
+        ("/allowed/max_retry_after_us", "allowed.max_retry_after_us", vec![-1.0]),
+        ("/domain/pin_limit_us", "domain.pin_limit_us", vec![0.0, -300.0]),
+        ("/domain/token_aim_us/0", "domain.token_aim_us[0]", vec![-1.0]),
+        ("/domain/kv_tokens/1", "domain.kv_tokens[1]", vec![-1.0]),
+        ("/rules/answer_slack_us", "rules.answer_slack_us", vec![-1.0]),
+        ("/rules/ask_within_us", "rules.ask_within_us", vec![-1.0]),
+        ("/rules/fall_multiple", "rules.fall_multiple", vec![0.0, -4.0]),
+        ("/rules/fall_us", "rules.fall_us", vec![-1.0, 1e17]),
+        ("/rules/start_capacity", "rules.start_capacity", vec![-0.1, 1.5]),
+        ("/rules/warm_up_us", "rules.warm_up_us", vec![-1.0]),
+    ];
+    for (pointer, key, absurd) in figures {
+        for figure in absurd {
+            let mut settings = settings();
+            *settings.pointer_mut(pointer).unwrap() = json!(figure);
+            let message = refused(settings).unwrap_or_else(|| panic!("{key}: {figure} is taken"));
+            assert!(message.starts_with(&format!("{key}: ")), "{message}");
+        }
+    }
+    let mut settings = settings();
+    settings["allowed"]["max_attempts"] = json!(0);
+    assert!(refused(settings).is_some_and(|message| message.starts_with("allowed.max_attempts: ")));
+}
+
+#[test]
+fn keys_that_are_missing_have_defaults() {
+    for section in ["period_us", "balancers", "me", "az", "allowed", "domain", "rules"] {
+        let mut settings = settings();
+        settings.as_object_mut().unwrap().remove(section);
+        assert_eq!(refused(settings), None, "without {section}");
+    }
+    assert_eq!(refused(json!({"zones": [], "kinds": [], "classes": [{"name": "c"}]})), None);
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -24,8 +24,33 @@
     List { host: u64, readiness: Readiness, restart: bool },
 }
 
+/// What the settings bound; those that are missing have the module's defaults.
+#[derive(Debug, Clone)]
+struct Bounds {
+    attempts: u32,
+    window: Micros,
+    pin: Micros,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Bounds::of(&settings(Effect::Safe))
+    }
+}
+
+impl Bounds {
+    fn of(settings: &Settings) -> Bounds {
+        Bounds {
+            attempts: settings.max_attempts.unwrap_or(4),
+            window: settings.classes[0].dedup_window.unwrap_or(0),
+            pin: settings.pin_limit.unwrap_or(SECOND / 2),
+        }
+    }
+}
+
 #[derive(Debug, Default, Clone)]
 struct Model {
+    bounds: Bounds,
     /// Open requests: deadline, and whether they are answered.
     deadline: BTreeMap<u32, (Micros, bool)>,
     attempts: BTreeMap<u32, u32>,
@@ -59,7 +84,7 @@
                     assert!(!self.out.contains_key(&id), "two attempts out");
                     assert!(!self.closed.contains_key(&host), "sent to a server that drains");
                     let number = self.attempts.entry(id).or_default();
-                    assert!(*number < 4, "too many attempts");
+                    assert!(*number < self.bounds.attempts, "too many attempts");
                     if let Some((first, since)) = self.ran.get(&id) {
                         assert!(effect != Effect::Unsafe, "an unsafe request may run twice");
                         // Reads too: a repeat goes to the group of the server where it may have run.
@@ -67,7 +92,7 @@
                             assert!(scope == KeyScope::All || cell(*first) == cell(host), "wrong group");
                             // It is written once a connection is up, by `up_by` at the latest, and has a way to go.
                             let up_by = if *up_by == 0 { Micros::MAX } else { *up_by };
-                            assert!(up_by + SECOND / 20 < since + 3 * SECOND, "too late for the key");
+                            assert!(up_by + SECOND / 20 < since + self.bounds.window, "too late for the key");
                         }
                     }
                     self.out.insert(id, (*number, host, now, false));
@@ -111,7 +136,7 @@
             assert!(*answered || streaming || now <= deadline + SLACK, "request {id} was lost");
         }
         for (id, since) in &self.held {
-            assert!(now <= since + SECOND / 2, "what request {id} held stayed pinned");
+            assert!(now <= since + self.bounds.pin, "what request {id} held stayed pinned");
         }
         let recent = self.cold_sends.iter().filter(|at| **at > now - 2 * SECOND).count();
         assert!(recent <= 1 + self.served, "the cold server got {recent} sends after {} served", self.served);
@@ -144,12 +169,17 @@
 }
 
 fn run(effect: Effect, writers_read: bool, steps: &[Step]) {
-    let listed = |host: u64| member(host, stage(host), cell(host));
-    let list = (0..HOSTS).map(|h| if h == COLD { cold(listed(h)) } else { listed(h) }).collect();
     // Half of the runs hold requests for a probe of their reader, which is never answered.
     let (probing, reporting) = (steps.len().is_multiple_of(2), Reporting::OnProbe);
-    let (mut front, _) = Front::new(Settings { writers_read, probing, reporting, ..settings(effect) }, list);
-    let mut model = Model::default();
+    run_with(Settings { writers_read, probing, reporting, ..settings(effect) }, steps);
+}
+
+fn run_with(settings: Settings, steps: &[Step]) {
+    let effect = settings.classes[0].effect;
+    let listed = |host: u64| member(host, stage(host), cell(host));
+    let list = (0..HOSTS).map(|h| if h == COLD { cold(listed(h)) } else { listed(h) }).collect();
+    let mut model = Model { bounds: Bounds::of(&settings), ..Model::default() };
+    let (mut front, _) = Front::new(settings, list);
     let mut next = 0;
     for step in steps {
         let nth = |pick: usize, model: &Model, streaming: bool| {
@@ -286,3 +316,59 @@
 fn the_rules_hold_for_unsafe_requests() {
     holds_under(Effect::Unsafe);
 }
+
+/// Settings of another deployment: any effect, window, limits and permissions, each of which may be missing.
+fn any_settings() -> impl Strategy<Value = Settings> {
+    let effect = prop_oneof![
+        Just(Effect::Safe),
+        Just(Effect::Unsafe),
+        Just(Effect::Keyed(KeyScope::All)),
+        Just(Effect::Keyed(KeyScope::Cell)),
+    ];
+    let reporting =
+        prop_oneof![Just(Reporting::WithOutcomes), Just(Reporting::OnProbe), Just(Reporting::Never)];
+    let class = (effect, prop::option::of(0..6 * SECOND), prop::option::of(1..9 * SECOND), any::<bool>());
+    let limits = (
+        prop::option::of(SECOND / 10..2 * SECOND),
+        prop::option::of(1..8_u32),
+        prop::option::of(1..20_000i64),
+    );
+    let permissions = prop::array::uniform8(any::<bool>());
+    (class, limits, permissions, reporting).prop_map(|(class, limits, permissions, reporting)| {
+        let (effect, dedup_window, aim, worthless) = class;
+        let (pin_limit, max_attempts, period) = limits;
+        let [earmarks, writers_read, resume, probing, cancelling, peers, retry_after, stateless] =
+            permissions;
+        let worth = (!worthless).then_some(1.0);
+        let class = Class { effect, dedup_window, aim, worth, ..Class::default() };
+        Settings {
+            classes: vec![class],
+            pin_limit,
+            max_attempts,
+            period: period.map(|period| period.min(4_000)),
+            earmarks,
+            writers_read,
+            resume,
+            probing,
+            cancelling,
+            peers,
+            retry_after,
+            reporting,
+            max_retry_after: stateless.then_some(SECOND),
+            ..settings(Effect::Safe)
+        }
+    })
+}
+
+/// Guards against a value, an order or a key of one deployment that the module takes for granted.
+#[test]
+fn the_rules_hold_under_settings_of_any_deployment() {
+    let config = Config { cases: 400, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[29; 32]);
+    let course = (any_settings(), prop::collection::vec(step(), 1..60));
+    let ran = TestRunner::new_with_rng(config, rng).run(&course, |(settings, steps)| {
+        run_with(settings, &steps);
+        Ok(())
+    });
+    ran.unwrap_or_else(|error| panic!("{error}"));
+}
