--- /dev/null
+++ b/tests/common/fleet.rs
@@ -0,0 +1,221 @@
+//! Many routers' modules in front of the same simulated servers.
+//!
+//! A reader reads one prompt at a time, at its rate; a writer streams each answer for the same span. What is sent is
+//! counted, so that a test can sum it over all routers.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cranetack::*;
+use rand_core::RngCore;
+use rand_pcg::Pcg32;
+
+use super::{ask, member, result, routes, settings, Front, SECOND, START};
+
+/// The step of the simulation.
+pub const STEP: Micros = SECOND / 20;
+/// How long an answer streams.
+const STREAM: Micros = SECOND;
+
+/// What is asked for at each step.
+#[derive(Debug, Clone, Copy)]
+pub struct Load {
+    /// Requests a second, over all routers.
+    pub rate: f64,
+    /// How many times the mean the first router gets.
+    pub hot_router: f64,
+    /// The greatest prompt, in tokens; the least is a twentieth of it.
+    pub longest_prompt: u64,
+}
+
+/// A request that was asked, and what became of it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Record {
+    pub prompt_tokens: u64,
+    pub session: u64,
+    pub answered: bool,
+    pub refused: bool,
+}
+
+enum Due {
+    Ended(usize, Event),
+    Established(usize, Event),
+}
+
+pub struct Fleet {
+    pub now: Micros,
+    pub records: Vec<Record>,
+    /// When each server was sent something.
+    pub sent: BTreeMap<u64, Vec<Micros>>,
+    /// Tokens that a reader reads in a second.
+    pub read_rate: f64,
+    routers: Vec<Front>,
+    rng: Pcg32,
+    due: BTreeMap<(Micros, usize), Due>,
+    sequence: usize,
+    attempts: BTreeMap<u32, u32>,
+    free_at: BTreeMap<u64, Micros>,
+    arrivals: f64,
+}
+
+impl Fleet {
+    /// So many routers, which know these servers. Every other one has just started; the rest are a minute old.
+    pub fn new(routers: usize, servers: &[Member], seed: u64) -> Fleet {
+        let settings = Settings { balancers: Some(routers as u32), ..settings(Effect::Safe) };
+        let start = |n: usize| Front::seeded(settings.clone(), servers.to_vec(), seed + n as u64).0;
+        let mut fleet = Fleet {
+            now: START,
+            records: Vec::new(),
+            sent: BTreeMap::new(),
+            read_rate: 20_000.0,
+            routers: (0..routers).map(start).collect(),
+            rng: Pcg32::new(seed, 1),
+            due: BTreeMap::new(),
+            sequence: 0,
+            attempts: BTreeMap::new(),
+            free_at: BTreeMap::new(),
+            arrivals: 0.0,
+        };
+        for router in fleet.routers.iter_mut().step_by(2) {
+            router.pass(60 * SECOND);
+            router.now = START;
+        }
+        fleet
+    }
+
+    /// All routers are told of a server.
+    pub fn list(&mut self, server: Member) {
+        for number in 0..self.routers.len() {
+            let event = Event::Members { form: ListForm::Patch, members: vec![server] };
+            self.tell(number, event);
+        }
+    }
+
+    /// Lets time pass under a load.
+    pub fn run(&mut self, span: Micros, load: Load) {
+        let end = self.now + span;
+        while self.now < end {
+            self.arrive(load);
+            self.now += STEP;
+            self.finish_due();
+            for number in 0..self.routers.len() {
+                let behind = self.now - self.routers[number].now;
+                let actions = self.routers[number].pass(behind);
+                actions.into_iter().for_each(|(_, action)| self.carry_out(number, &[action]));
+            }
+        }
+    }
+
+    fn arrive(&mut self, load: Load) {
+        self.arrivals += load.rate * STEP as f64 / SECOND as f64;
+        while self.arrivals >= 1.0 {
+            self.arrivals -= 1.0;
+            let others = (self.routers.len() - 1) as f64;
+            let router = if self.uniform() * (load.hot_router + others) < load.hot_router {
+                0
+            } else {
+                1 + (self.uniform() * others) as usize
+            };
+            // Few prompts are long: the square of what is drawn evenly.
+            let share = self.uniform().powi(2).max(0.05);
+            let prompt_tokens = (load.longest_prompt as f64 * share) as u64;
+            let session = u64::from(self.rng.next_u32() % 200);
+            let id = self.records.len() as u32;
+            self.records.push(Record { prompt_tokens, session, answered: false, refused: false });
+            let session = Some(SessionId(session));
+            let request = Ask { prompt_tokens, session, ..ask(id, self.now) };
+            self.tell(router.min(self.routers.len() - 1), Event::Ask(request));
+        }
+    }
+
+    fn uniform(&mut self) -> f64 {
+        f64::from(self.rng.next_u32()) / 2_f64.powi(32)
+    }
+
+    fn tell(&mut self, router: usize, event: Event) {
+        self.routers[router].now = self.now;
+        let actions = self.routers[router].on(event);
+        self.carry_out(router, &actions);
+    }
+
+    fn carry_out(&mut self, router: usize, actions: &[Action]) {
+        for (id, server) in routes(actions) {
+            self.sent.entry(server).or_default().push(self.now);
+            self.serve(router, id, server);
+        }
+        for action in actions {
+            if let Action::Shed { id, .. } = action {
+                self.records[id.0 as usize].refused = true;
+            }
+        }
+    }
+
+    /// Servers with even numbers read, those with odd ones write.
+    fn serve(&mut self, router: usize, id: u32, server: u64) {
+        let attempt = self.attempt_of(id);
+        if server.is_multiple_of(2) {
+            let span = self.records[id as usize].prompt_tokens as f64 / self.read_rate * SECOND as f64;
+            let free_at = self.free_at.entry(server).or_insert(self.now);
+            *free_at = (*free_at).max(self.now) + span as Micros;
+            let at = *free_at;
+            // Clients wait for four seconds.
+            let patience = self.now + 4 * SECOND;
+            let outcome = if at < patience { Outcome::HalfDone } else { Outcome::Late };
+            self.schedule(at.min(patience), Due::Ended(router, result(id, attempt, server, outcome)));
+        } else {
+            let (request, host) = (RequestId(id), HostId(server));
+            let begun = Event::Established { id: request, attempt, host, spent: 1 };
+            self.schedule(self.now + STEP, Due::Established(router, begun));
+            let ended = result(id, attempt, server, Outcome::Good);
+            self.schedule(self.now + STREAM, Due::Ended(router, ended));
+        }
+    }
+
+    /// The number of the attempt that has just been made for a request.
+    fn attempt_of(&mut self, id: u32) -> u32 {
+        let made = self.attempts.entry(id).or_insert(0);
+        *made += 1;
+        *made - 1
+    }
+
+    fn schedule(&mut self, at: Micros, due: Due) {
+        self.sequence += 1;
+        self.due.insert((at, self.sequence), due);
+    }
+
+    fn finish_due(&mut self) {
+        while let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 <= self.now) {
+            match entry.remove() {
+                Due::Established(router, event) => {
+                    if let Event::Established { id, .. } = &event {
+                        self.records[id.0 as usize].answered = true;
+                    }
+                    self.tell(router, event);
+                }
+                Due::Ended(router, event) => self.tell(router, event),
+            }
+        }
+    }
+}
+
+/// A reader (of even number) or a writer (of odd number) that is warm.
+pub fn warm(server: u64) -> Member {
+    member(server, (server % 2) as usize, 0)
+}
+
+/// One that has just started.
+pub fn cold(server: u64, now: Micros) -> Member {
+    Member { last_start: Some(now), ..warm(server) }
+}
+
+/// The most of these instants that lie within one window.
+pub fn most_within(instants: &[Micros], window: Micros) -> usize {
+    let within = |from: &Micros| instants.iter().filter(|at| (*from..from + window).contains(at)).count();
+    instants.iter().map(within).max().unwrap_or(0)
+}
+
+/// Sessions of which each request was refused.
+pub fn shut_out(records: &[Record]) -> usize {
+    let refused: BTreeSet<u64> = records.iter().filter(|r| r.refused).map(|r| r.session).collect();
+    let served: BTreeSet<u64> = records.iter().filter(|r| !r.refused).map(|r| r.session).collect();
+    refused.difference(&served).count()
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A small stand-in for a dispatcher: builds settings, lists and requests, and collects actions.
 #![allow(dead_code)]
 
+pub mod fleet;
+
 use cranetack::*;
 
 pub const SECOND: Micros = 1_000_000;
