--- a/measure/src/front.rs
+++ b/measure/src/front.rs
@@ -26,7 +26,7 @@
 
 /// Measures the second front.
 #[derive(Parser)]
-struct Asked {
+struct IncomingRequest {
     /// The folder of an earlier version, built.
     #[arg(long)]
     baseline: PathBuf,
@@ -352,7 +352,7 @@
     (rig.router.peak_mb(), of(200), of(503))
 }
 
-async fn measure(asked: &Asked) -> std::io::Result<String> {
+async fn measure(asked: &IncomingRequest) -> std::io::Result<String> {
     let mut random = Pcg64::seed_from_u64(asked.seed);
     let began = Instant::now();
     let progress = |what: &str| eprintln!("{:4.1} s  {what}", began.elapsed().as_secs_f64());
@@ -390,7 +390,7 @@
 }
 
 fn main() -> std::io::Result<()> {
-    let asked = Asked::parse();
+    let asked = IncomingRequest::parse();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let line = LocalSet::new().block_on(&runtime, measure(&asked))?;
     println!("{line}");
--- a/router/src/control.rs
+++ b/router/src/control.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use tokio::sync::watch;
 
-use crate::core::{Handle, Surveyed};
+use crate::core::{EndpointStatus, Handle};
 
 /// The operator's file.
 #[derive(Debug, Clone, Deserialize)]
@@ -54,8 +54,8 @@
             _ = every.tick() => {}
             () = snapshots.closed() => return,
         }
-        let Some(surveyed) = handle.survey().await else { return };
-        let now = snapshot(&surveyed, &facts, setup.weight_steps);
+        let Some(endpoint_status) = handle.endpoint_statuses().await else { return };
+        let now = snapshot(&endpoint_status, &facts, setup.weight_steps);
         snapshots.send_if_modified(|shown| {
             let changed = *shown != now;
             *shown = now;
@@ -65,9 +65,9 @@
 }
 
 /// A cluster for each kind of server, named as the settings name it.
-fn snapshot(surveyed: &[Surveyed], facts: &Facts, steps: u32) -> Snapshot {
+fn snapshot(endpoint_status: &[EndpointStatus], facts: &Facts, steps: u32) -> Snapshot {
     let mut snapshot: Snapshot = facts.kinds.iter().map(|kind| (kind.clone(), Vec::new())).collect();
-    for Surveyed { address, member, standing } in surveyed {
+    for EndpointStatus { address, member, standing } in endpoint_status {
         let Standing { takes, worth, .. } = standing;
         let health = match (member.readiness, takes) {
             (Readiness::Gone, _) => continue,
@@ -99,7 +99,7 @@
     fn the_modules_standing_becomes_health_and_weight() {
         let facts = serde_json::json!({"classes": [], "kinds": ["prefill", "decode"], "zones": ["a"]});
         let facts: Facts = serde_json::from_value(facts).unwrap();
-        let surveyed = |port: u16, readiness, takes, worth| {
+        let endpoint_status = |port: u16, readiness, takes, worth| {
             let host = HostId(port.into());
             let member = Member {
                 host,
@@ -110,17 +110,17 @@
                 weight: 1.0,
                 zone: ZoneId(0),
             };
-            Surveyed {
+            EndpointStatus {
                 address: ([127, 0, 0, 1], port).into(),
                 member,
                 standing: Standing { host, takes, worth },
             }
         };
         let all = [
-            surveyed(4, Readiness::Gone, false, 0.5),
-            surveyed(3, Readiness::Draining, false, 0.5),
-            surveyed(2, Readiness::Up, false, 0.0),
-            surveyed(1, Readiness::Up, true, 0.8),
+            endpoint_status(4, Readiness::Gone, false, 0.5),
+            endpoint_status(3, Readiness::Draining, false, 0.5),
+            endpoint_status(2, Readiness::Up, false, 0.0),
+            endpoint_status(1, Readiness::Up, true, 0.8),
         ];
         let shown = snapshot(&all, &facts, 10);
         assert!(shown["prefill"].is_empty());
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -1,5 +1,5 @@
 //! The core: it owns the decision module, the clock, the timers and the table of requests and attempts. Typed
-//! happenings become the module's events, and its actions are carried out through [`Outbound`]. It knows no
+//! events become the module's events, and its actions are carried out through [`Outbound`]. It knows no
 //! wire. It is the one place that ends a request.
 
 use std::cell::Cell;
@@ -119,9 +119,9 @@
 
 /// A request as a front has decoded it.
 #[derive(Debug, Clone)]
-pub struct Asked {
+pub struct IncomingRequest {
     /// Its id on the wire.
-    pub name: Rc<str>,
+    pub request_id: Rc<str>,
     /// Its class.
     pub class: ClassId,
     /// Its session.
@@ -185,12 +185,12 @@
     pub number: u32,
 }
 
-/// What the core is told.
-pub enum Happening {
+/// What has happened outside the core.
+pub enum CoreEvent {
     /// A request came in.
-    Asked(RequestId, Asked, Carrier),
+    Submitted(RequestId, IncomingRequest, Carrier),
     /// Its client has gone, or has been answered in full.
-    Gone(RequestId),
+    ClientGone(RequestId),
     /// The first part of an attempt's answer is here.
     Established {
         /// The attempt.
@@ -201,13 +201,13 @@
         parts: Parts,
     },
     /// An attempt has ended, and its connection no longer carries it.
-    Ended(AttemptId, Ended),
+    AttemptEnded(AttemptId, Ended),
     /// A request for a place was answered, or may have been heard.
-    Placed {
+    ReservationAnswered {
         /// The attempt whose read the place was asked for.
         reading: AttemptId,
         /// Its id on the wire.
-        name: Rc<str>,
+        request_id: Rc<str>,
         /// The writer.
         host: HostId,
         /// What came of it.
@@ -231,12 +231,12 @@
     /// The router ends: clients are sent elsewhere from one instant on, and all must be answered by another.
     Leaving(Instant, Instant),
     /// Somebody asks how the module stands towards the servers.
-    Survey(oneshot::Sender<Vec<Surveyed>>),
+    StatusRequested(oneshot::Sender<Vec<EndpointStatus>>),
 }
 
 /// A server, and how the module stands towards it.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Surveyed {
+pub struct EndpointStatus {
     /// Where it listens.
     pub address: SocketAddr,
     /// Its line of the list.
@@ -247,11 +247,11 @@
 
 /// An attempt to be made.
 #[derive(Clone)]
-pub struct Order {
+pub struct AttemptSpec {
     /// The attempt.
     pub attempt: AttemptId,
     /// The request's id on the wire.
-    pub name: Rc<str>,
+    pub request_id: Rc<str>,
     /// The server.
     pub host: Rc<Host>,
     /// When to give it up, unless its answer has begun.
@@ -261,21 +261,21 @@
     /// Whether the request still wants an answer.
     pub wanted: Rc<Cell<bool>>,
     /// It must not run twice, so it had better not go over a connection that may break under it.
-    pub delicate: bool,
+    pub non_idempotent: bool,
     /// What to send.
     pub message: Rc<Message>,
 }
 
-/// What the core has done outside. None of these may wait: they start work and report as happenings.
+/// What the core has done outside. None of these may wait: they start work and report as events.
 pub trait Outbound {
     /// Makes an attempt.
-    fn send(&mut self, order: Order);
-    /// Withdraws an attempt; one that streams only if `streaming`, which breaks its answer off.
-    fn withdraw(&mut self, attempt: AttemptId, streaming: bool);
+    fn send(&mut self, order: AttemptSpec);
+    /// Cancels an attempt; one that streams only if `streaming`, which breaks its answer off.
+    fn cancel(&mut self, attempt: AttemptId, streaming: bool);
     /// Asks a writer for a place, once the reading request is out.
-    fn place(&mut self, reading: AttemptId, name: Rc<str>, writer: Rc<Host>);
+    fn reserve(&mut self, reading: AttemptId, request_id: Rc<str>, writer: Rc<Host>);
     /// Lets go of all that is held for a request, through the first of these servers that can be reached.
-    fn release(&mut self, request: RequestId, name: Rc<str>, hosts: Vec<Rc<Host>>);
+    fn release(&mut self, request: RequestId, request_id: Rc<str>, hosts: Vec<Rc<Host>>);
     /// Probes a server.
     fn probe(&mut self, host: Rc<Host>);
     /// Closes idle connections to a server.
@@ -285,7 +285,7 @@
 }
 
 struct Request {
-    asked: Asked,
+    incoming: IncomingRequest,
     arrived: Micros,
     valid_until: Micros,
     /// Present until the final answer.
@@ -293,7 +293,7 @@
     /// The refusal that is given as soon as the attempt that is out has ended.
     parting: Option<Answer>,
     attempts: u32,
-    out: Option<Out>,
+    in_flight: Option<InFlight>,
     /// The module has let go of what was held, and nothing has been sent since.
     released: bool,
     over: bool,
@@ -301,14 +301,14 @@
     wanted: Rc<Cell<bool>>,
 }
 
-struct Out {
+struct InFlight {
     number: u32,
     sent: Micros,
     host: HostId,
     streaming: bool,
 }
 
-/// The module and its tables. It takes one happening at a time and does not wait.
+/// The module and its tables. It takes one event at a time and does not wait.
 pub struct Core<O> {
     settings: Settings,
     seed: u64,
@@ -327,36 +327,36 @@
 /// Through which the other parts tell the core what has happened. Cheap to clone.
 #[derive(Clone)]
 pub struct Handle {
-    happenings: mpsc::UnboundedSender<Happening>,
+    events: mpsc::UnboundedSender<CoreEvent>,
     next: Rc<Cell<u32>>,
 }
 
 impl Handle {
-    /// A handle, and where its happenings come out.
-    pub fn new() -> (Handle, mpsc::UnboundedReceiver<Happening>) {
-        let (happenings, rx) = mpsc::unbounded_channel();
-        (Handle { happenings, next: Rc::new(Cell::new(0)) }, rx)
+    /// A handle, and where its events come out.
+    pub fn new() -> (Handle, mpsc::UnboundedReceiver<CoreEvent>) {
+        let (events, rx) = mpsc::unbounded_channel();
+        (Handle { events, next: Rc::new(Cell::new(0)) }, rx)
     }
 
-    /// Tells the core. Once it has stopped, nothing needs telling.
-    pub fn tell(&self, happening: Happening) {
-        let _ = self.happenings.send(happening);
+    /// Sends the core an event. Once it has stopped, nobody needs to know.
+    pub fn send(&self, event: CoreEvent) {
+        let _ = self.events.send(event);
     }
 
     /// Asks how the module stands towards the servers; `None` once the core has stopped.
-    pub async fn survey(&self) -> Option<Vec<Surveyed>> {
+    pub async fn endpoint_statuses(&self) -> Option<Vec<EndpointStatus>> {
         let (tx, rx) = oneshot::channel();
-        self.tell(Happening::Survey(tx));
+        self.send(CoreEvent::StatusRequested(tx));
         rx.await.ok()
     }
 
     /// Hands a request in.
-    pub fn ask(&self, asked: Asked) -> Caller {
+    pub fn submit(&self, incoming: IncomingRequest) -> Caller {
         let id = RequestId(self.next.get());
         self.next.set(id.0.wrapping_add(1));
         let handle = self.clone();
-        let (caller, carrier) = exchange::open(move || handle.tell(Happening::Gone(id)));
-        self.tell(Happening::Asked(id, asked, carrier));
+        let (caller, carrier) = exchange::open(move || handle.send(CoreEvent::ClientGone(id)));
+        self.send(CoreEvent::Submitted(id, incoming, carrier));
         caller
     }
 }
@@ -380,15 +380,15 @@
     }
 
     /// Runs until all handles are gone.
-    pub async fn run(mut self, mut happenings: mpsc::UnboundedReceiver<Happening>) {
+    pub async fn run(mut self, mut events: mpsc::UnboundedReceiver<CoreEvent>) {
         // The module's first timer is among the actions of its first event.
         self.guarded(|core| core.decide(Event::Members { form: ListForm::Patch, members: Vec::new() }));
         loop {
             let wake = self.timers.peek().map_or(i64::MAX, |Reverse((at, _))| *at);
             let wake = self.clock.instant(wake.min(self.clock.now() + 1_000_000));
             tokio::select! {
-                happening = happenings.recv() => match happening {
-                    Some(happening) => self.guarded(|core| core.handle(happening)),
+                event = events.recv() => match event {
+                    Some(event) => self.guarded(|core| core.handle(event)),
                     None => return,
                 },
                 () = tokio::time::sleep_until(wake) => self.guarded(Self::fire),
@@ -408,17 +408,19 @@
         }
     }
 
-    /// Takes one happening.
-    pub fn handle(&mut self, happening: Happening) {
-        match happening {
-            Happening::Asked(id, asked, carrier) => self.asked(id, asked, carrier),
-            Happening::Gone(id) => self.gone(id),
-            Happening::Established { attempt, media_type, parts } => {
+    /// Takes one event.
+    pub fn handle(&mut self, event: CoreEvent) {
+        match event {
+            CoreEvent::Submitted(id, incoming, carrier) => self.submitted(id, incoming, carrier),
+            CoreEvent::ClientGone(id) => self.client_gone(id),
+            CoreEvent::Established { attempt, media_type, parts } => {
                 self.established(attempt, media_type, parts);
             }
-            Happening::Ended(attempt, ended) => self.ended(attempt, ended),
-            Happening::Placed { reading, name, host, place } => self.placed(reading, name, host, place),
-            Happening::Probed { host, outcome, spent, load } => {
+            CoreEvent::AttemptEnded(attempt, ended) => self.attempt_ended(attempt, ended),
+            CoreEvent::ReservationAnswered { reading, request_id, host, place } => {
+                self.reservation_answered(reading, request_id, host, place);
+            }
+            CoreEvent::Probed { host, outcome, spent, load } => {
                 if let Some(host) = self.hosts.get(&host) {
                     tracing::debug!(to = host.name, ?outcome, ?spent, ?load, "a probe has ended");
                 }
@@ -427,71 +429,71 @@
                 }
                 self.decide(Event::Probed { host, outcome, spent: micros(spent), load });
             }
-            Happening::Members(form, listed) => self.members(form, listed),
-            Happening::Leaving(from, by) => {
+            CoreEvent::Members(form, listed) => self.members(form, listed),
+            CoreEvent::Leaving(from, by) => {
                 let [from, by] = [from, by].map(|at| self.clock.at(at));
                 self.decide(Event::Leaving { from, by });
             }
-            Happening::Survey(asker) => {
-                let _ = asker.send(self.survey());
+            CoreEvent::StatusRequested(asker) => {
+                let _ = asker.send(self.endpoint_statuses());
             }
-            Happening::Peer(from, bytes) => self.decide(Event::Peer { from, bytes }),
+            CoreEvent::Peer(from, bytes) => self.decide(Event::Peer { from, bytes }),
         }
     }
 
-    fn survey(&mut self) -> Vec<Surveyed> {
+    fn endpoint_statuses(&mut self) -> Vec<EndpointStatus> {
         let standings = self.policy.standings(self.clock.now());
-        let surveyed = |standing: Standing| {
+        let endpoint_status = |standing: Standing| {
             let address = self.hosts.get(&standing.host)?.address();
-            Some(Surveyed { address, member: *self.members.get(&standing.host)?, standing })
+            Some(EndpointStatus { address, member: *self.members.get(&standing.host)?, standing })
         };
-        standings.into_iter().filter_map(surveyed).collect()
+        standings.into_iter().filter_map(endpoint_status).collect()
     }
 
-    fn asked(&mut self, id: RequestId, asked: Asked, carrier: Carrier) {
+    fn submitted(&mut self, id: RequestId, incoming: IncomingRequest, carrier: Carrier) {
         // What servers hold is held by the id on the wire, so two requests must not share one.
-        if self.requests.values().any(|r| r.asked.name == asked.name) {
-            carrier.answer(Answer::Taken);
+        if self.requests.values().any(|r| r.incoming.request_id == incoming.request_id) {
+            carrier.answer(Answer::DuplicateId);
             return;
         }
         let now = self.clock.now();
-        let valid_until = now.saturating_add(micros(asked.patience));
+        let valid_until = now.saturating_add(micros(incoming.patience));
         let ask = Ask {
             id,
-            class: asked.class,
-            session: asked.session.as_deref().map(|s| SessionId(stable(s))),
-            prefix: asked.prefix.as_deref().map(|p| PrefixId(stable(p))),
+            class: incoming.class,
+            session: incoming.session.as_deref().map(|s| SessionId(stable(s))),
+            prefix: incoming.prefix.as_deref().map(|p| PrefixId(stable(p))),
             valid_until,
-            hint: asked.hint.map(micros),
-            prompt_tokens: asked.prompt_tokens,
-            shared_tokens: asked.shared_tokens,
-            max_tokens: asked.max_tokens,
-            retry: asked.retry,
-            came_back: asked.came_back,
-            kinds: asked.kinds,
+            hint: incoming.hint.map(micros),
+            prompt_tokens: incoming.prompt_tokens,
+            shared_tokens: incoming.shared_tokens,
+            max_tokens: incoming.max_tokens,
+            retry: incoming.retry,
+            came_back: incoming.came_back,
+            kinds: incoming.kinds,
         };
         let request = Request {
-            asked,
+            incoming,
             arrived: now,
             valid_until,
             carrier: Some(carrier),
             parting: None,
             attempts: 0,
-            out: None,
+            in_flight: None,
             released: false,
             over: false,
             wanted: Rc::new(Cell::new(true)),
         };
-        let Asked { name, retry, came_back, session, prefix, .. } = &request.asked;
+        let IncomingRequest { request_id, retry, came_back, session, prefix, .. } = &request.incoming;
         let Ask { class, prompt_tokens, shared_tokens, valid_until, .. } = ask;
         let (class, patience) = (class.0, valid_until - now);
-        tracing::debug!(id = %name, class, prompt_tokens, shared_tokens, patience, retry, came_back, session, prefix,
+        tracing::debug!(id = %request_id, class, prompt_tokens, shared_tokens, patience, retry, came_back, session, prefix,
             "a request has come");
         self.requests.insert(id, request);
         self.decide(Event::Ask(ask));
     }
 
-    fn gone(&mut self, id: RequestId) {
+    fn client_gone(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|r| !r.over) {
             self.finish(id, None);
             self.decide(Event::ClientGone(id));
@@ -505,22 +507,22 @@
         let Some(request) = self.requests.get_mut(&id).filter(|r| !r.over && r.parting.is_none()) else {
             return;
         };
-        let Some(out) = request.out.as_mut().filter(|o| o.number == attempt.number) else { return };
+        let Some(out) = request.in_flight.as_mut().filter(|o| o.number == attempt.number) else { return };
         out.streaming = true;
         // Nothing further is sent for it: its body need not be held while the answer streams.
-        request.asked.message = Rc::default();
+        request.incoming.message = Rc::default();
         let (host, spent) = (out.host, now - out.sent);
-        tracing::debug!(id = %request.asked.name, spent, "an answer has begun");
+        tracing::debug!(id = %request.incoming.request_id, spent, "an answer has begun");
         if let Some(carrier) = request.carrier.take() {
             carrier.answer(Answer::Served { media_type, parts });
         }
         self.decide(Event::Established { id, attempt: attempt.number, host, spent });
     }
 
-    fn ended(&mut self, attempt: AttemptId, ended: Ended) {
+    fn attempt_ended(&mut self, attempt: AttemptId, ended: Ended) {
         let id = attempt.request;
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let Some(out) = request.out.take_if(|o| o.number == attempt.number) else { return };
+        let Some(out) = request.in_flight.take_if(|o| o.number == attempt.number) else { return };
         if out.streaming {
             self.finish(id, None);
         } else if let Some(refusal) = request.parting.take() {
@@ -534,7 +536,7 @@
         let (host, spent) = (out.host, self.clock.now() - out.sent);
         let number = attempt.number;
         if let (Some(request), Some(to)) = (self.requests.get(&id), self.hosts.get(&host)) {
-            let (id, to) = (&request.asked.name, &to.name);
+            let (id, to) = (&request.incoming.request_id, &to.name);
             tracing::debug!(%id, number, to, ?outcome, info, spent, "an attempt has ended");
         }
         self.decide(Event::Result { id, attempt: number, host, outcome, info, no_more, spent, load });
@@ -544,19 +546,19 @@
     /// crossed the module's own release. So is one of which the writer is unsure while we still wait for the read: none
     /// was out where it looked, so the read may be under way on a connection that has gone silent, with nothing out at
     /// its reader, and the place would be held for nobody.
-    fn placed(&mut self, reading: AttemptId, name: Rc<str>, host: HostId, place: Place) {
+    fn reservation_answered(&mut self, reading: AttemptId, request_id: Rc<str>, host: HostId, place: Place) {
         let id = reading.request;
         let request = self.requests.get(&id);
         let wanted = request.is_some_and(|r| !r.over && !r.released && !r.streaming());
-        tracing::debug!(id = %name, ?place, wanted, "a place was answered for");
+        tracing::debug!(id = %request_id, ?place, wanted, "a place was answered for");
         if place != Place::Unsure {
             self.heard(host);
         }
-        let unread = request.and_then(|r| r.out.as_ref()).is_some_and(|o| o.number == reading.number);
+        let unread = request.and_then(|r| r.in_flight.as_ref()).is_some_and(|o| o.number == reading.number);
         if (!wanted && place != Place::Refused) || (place == Place::Unsure && unread) {
             let hosts = self.reachable();
-            self.outbound.release(id, name, hosts);
-        } else if wanted && place != Place::Unsure && request.is_some_and(|r| r.out.is_some()) {
+            self.outbound.release(id, request_id, hosts);
+        } else if wanted && place != Place::Unsure && request.is_some_and(|r| r.in_flight.is_some()) {
             self.decide(Event::Earmarked { id, host, held: place == Place::Held });
         }
     }
@@ -630,8 +632,10 @@
         self.due.clear();
         let open: Vec<RequestId> = self.requests.keys().copied().collect();
         for id in open {
-            if let Some(out) = self.requests.get(&id).and_then(|r| r.out.as_ref()).filter(|o| !o.streaming) {
-                self.outbound.withdraw(AttemptId { request: id, number: out.number }, false);
+            if let Some(out) =
+                self.requests.get(&id).and_then(|r| r.in_flight.as_ref()).filter(|o| !o.streaming)
+            {
+                self.outbound.cancel(AttemptId { request: id, number: out.number }, false);
             }
             self.finish(id, Some(Answer::Failed));
             self.release(id);
@@ -647,7 +651,7 @@
             Action::Earmark { id, host } => self.earmark(id, host),
             Action::FreeState(id) => self.release(id),
             Action::Abort { id, attempt } => {
-                self.outbound.withdraw(AttemptId { request: id, number: attempt }, false);
+                self.outbound.cancel(AttemptId { request: id, number: attempt }, false);
             }
             Action::Shed { id, pause } => {
                 let pause = Duration::from_micros(u64::try_from(pause).unwrap_or(0));
@@ -655,9 +659,10 @@
             }
             Action::Lose(id) => self.finish(id, Some(Answer::Failed)),
             Action::Bounce(id) => {
-                let streaming = self.requests.get(&id).and_then(|r| r.out.as_ref()).filter(|o| o.streaming);
+                let streaming =
+                    self.requests.get(&id).and_then(|r| r.in_flight.as_ref()).filter(|o| o.streaming);
                 if let Some(out) = streaming {
-                    self.outbound.withdraw(AttemptId { request: id, number: out.number }, true);
+                    self.outbound.cancel(AttemptId { request: id, number: out.number }, true);
                 }
             }
             Action::Sleep { at, key } => self.timers.push(Reverse((at, key))),
@@ -677,12 +682,15 @@
     /// Refuses a request, once the attempt that is out has been called off, which takes no wait. Guards against a
     /// refusal that overtakes its attempt: its client may ask again while the server still works for it.
     fn refuse(&mut self, id: RequestId, refusal: Answer) {
-        let out =
-            self.requests.get_mut(&id).filter(|r| !r.over).and_then(|r| Some((r.out.as_ref()?.number, r)));
+        let out = self
+            .requests
+            .get_mut(&id)
+            .filter(|r| !r.over)
+            .and_then(|r| Some((r.in_flight.as_ref()?.number, r)));
         let Some((number, request)) = out else { return self.finish(id, Some(refusal)) };
         request.parting = Some(refusal);
         request.wanted.set(false);
-        self.outbound.withdraw(AttemptId { request: id, number }, false);
+        self.outbound.cancel(AttemptId { request: id, number }, false);
     }
 
     fn route(&mut self, id: RequestId, host: HostId, expire: Micros, up_by: Micros) {
@@ -691,10 +699,9 @@
         let number = request.attempts;
         request.attempts += 1;
         let most = self.settings.max_attempts.unwrap_or(u32::MAX);
-        let target = self
-            .hosts
-            .get(&host)
-            .filter(|_| !request.over && request.out.is_none() && number < most && now < request.valid_until);
+        let target = self.hosts.get(&host).filter(|_| {
+            !request.over && request.in_flight.is_none() && number < most && now < request.valid_until
+        });
         let Some(target) = target else {
             let (no_more, spent, load, info) = (request.over, 0, None, 0);
             let outcome = Outcome::Nop;
@@ -710,40 +717,41 @@
             });
             return;
         };
-        request.out = Some(Out { number, sent: now, host, streaming: false });
-        tracing::debug!(id = %request.asked.name, number, to = target.name, "an attempt is made");
+        request.in_flight = Some(InFlight { number, sent: now, host, streaming: false });
+        tracing::debug!(id = %request.incoming.request_id, number, to = target.name, "an attempt is made");
         request.released = false;
-        let effect = self.settings.classes.get(request.asked.class.0).map(|c| c.effect).unwrap_or_default();
+        let effect =
+            self.settings.classes.get(request.incoming.class.0).map(|c| c.effect).unwrap_or_default();
         let kind = self.members.get(&host).and_then(|m| self.settings.kinds.get(m.kind.0));
         let reads = kind.is_some_and(|k| k.stage == Some(Stage::Read));
         let [expire, up_by] =
             [expire, up_by].map(|at| if at == 0 { request.valid_until } else { at.min(request.valid_until) });
-        self.outbound.send(Order {
+        self.outbound.send(AttemptSpec {
             attempt: AttemptId { request: id, number },
-            name: request.asked.name.clone(),
+            request_id: request.incoming.request_id.clone(),
             host: target.clone(),
             expire: self.clock.instant(expire),
             up_by: self.clock.instant(up_by),
             wanted: request.wanted.clone(),
-            delicate: effect == Effect::Unsafe && !reads,
-            message: request.asked.message.clone(),
+            non_idempotent: effect == Effect::Unsafe && !reads,
+            message: request.incoming.message.clone(),
         });
     }
 
     fn earmark(&mut self, id: RequestId, writer: HostId) {
         let Some(request) = self.requests.get(&id) else { return };
-        let (Some(out), Some(writer)) = (request.out.as_ref(), self.hosts.get(&writer)) else { return };
+        let (Some(out), Some(writer)) = (request.in_flight.as_ref(), self.hosts.get(&writer)) else { return };
         let reading = AttemptId { request: id, number: out.number };
-        tracing::debug!(id = %request.asked.name, at = writer.name, "a place is asked for");
-        self.outbound.place(reading, request.asked.name.clone(), writer.clone());
+        tracing::debug!(id = %request.incoming.request_id, at = writer.name, "a place is asked for");
+        self.outbound.reserve(reading, request.incoming.request_id.clone(), writer.clone());
     }
 
     fn release(&mut self, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.released = true;
-        let name = request.asked.name.clone();
+        let request_id = request.incoming.request_id.clone();
         let hosts = self.reachable();
-        self.outbound.release(id, name, hosts);
+        self.outbound.release(id, request_id, hosts);
     }
 
     /// The servers through which something may be let go: any of them can, so the likeliest to be reached come first,
@@ -769,7 +777,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.over = true;
         request.wanted.set(false);
-        let (id, spent) = (&request.asked.name, self.clock.now() - request.arrived);
+        let (id, spent) = (&request.incoming.request_id, self.clock.now() - request.arrived);
         tracing::debug!(%id, ?answer, spent, "a request has ended");
         if let (Some(carrier), Some(answer)) = (request.carrier.take(), answer) {
             carrier.answer(answer);
@@ -778,7 +786,7 @@
 
     /// Drops the record of a request that is over and has nothing out.
     fn forget(&mut self, id: RequestId) {
-        if self.requests.get(&id).is_some_and(|r| r.over && r.out.is_none()) {
+        if self.requests.get(&id).is_some_and(|r| r.over && r.in_flight.is_none()) {
             self.requests.remove(&id);
         }
     }
@@ -786,7 +794,7 @@
 
 impl Request {
     fn streaming(&self) -> bool {
-        self.out.as_ref().is_some_and(|o| o.streaming)
+        self.in_flight.as_ref().is_some_and(|o| o.streaming)
     }
 }
 
--- a/router/src/discovery.rs
+++ b/router/src/discovery.rs
@@ -20,7 +20,7 @@
 use tokio::time::{timeout, Instant};
 
 use crate::backoff::Backoff;
-use crate::core::{Handle, Happening, Listed};
+use crate::core::{CoreEvent, Handle, Listed};
 
 /// How long an answer may take: a busy service serves or refuses what waits its turn within 2 s.
 const ANSWER: Duration = Duration::from_millis(2_500);
@@ -262,7 +262,7 @@
                 let form = if list.snapshot { ListForm::Whole } else { ListForm::Patch };
                 // Every answer continues the watch; only those with news concern the core.
                 if list.snapshot || !list.endpoints.is_empty() {
-                    handle.tell(Happening::Members(form, list.listed(facts)));
+                    handle.send(CoreEvent::Members(form, list.listed(facts)));
                 }
                 fresh.send_replace(true);
             },
--- a/router/src/discovery/tests.rs
+++ b/router/src/discovery/tests.rs
@@ -7,7 +7,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use super::*;
-use crate::core::Happening;
+use crate::core::CoreEvent;
 
 /// A service of fixed capacity, as the platform's protocol has it: calls wait in turn, fail after 2 s of that,
 /// and are refused at once past a number; one that has failed costs what another does.
@@ -169,7 +169,7 @@
 async fn hears_after(fails: Fails, routers: u32, seed: u64) -> Duration {
     let began = Instant::now();
     let calls = Rc::new(Cell::new(0));
-    let (handle, mut happenings) = Handle::new();
+    let (handle, mut events) = Handle::new();
     let agent = || {
         let calls = calls.clone();
         async move {
@@ -186,7 +186,7 @@
     let mut pace = Pace::new(Some(routers), None, seed);
     let told = async {
         loop {
-            if let Some(Happening::Members(..)) = happenings.recv().await {
+            if let Some(CoreEvent::Members(..)) = events.recv().await {
                 break;
             }
         }
@@ -274,7 +274,7 @@
     let script = VecDeque::from([list(7, "draining"), list(3, "up"), list(2, "draining")]);
     let asked = Rc::new(RefCell::new(Vec::new()));
     let facts: Facts = serde_json::from_str(r#"{"classes": [], "kinds": ["m"], "zones": ["a"]}"#).unwrap();
-    let (handle, mut happenings) = Handle::new();
+    let (handle, mut events) = Handle::new();
     let agent = || {
         let (ours, theirs) = tokio::io::duplex(1 << 16);
         tokio::task::spawn_local(serve_script(theirs, script.clone(), asked.clone()));
@@ -285,7 +285,7 @@
     let mut heard = Vec::new();
     let hearing = async {
         while heard.len() < 2 {
-            if let Some(Happening::Members(_, lines)) = happenings.recv().await {
+            if let Some(CoreEvent::Members(_, lines)) = events.recv().await {
                 heard.push(lines[0].readiness);
             }
         }
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -41,7 +41,7 @@
     /// Failed: it may have run.
     Failed,
     /// Not taken: another request with its id is open.
-    Taken,
+    DuplicateId,
 }
 
 /// The answer broke off: what has come is not whole.
@@ -57,25 +57,25 @@
 /// The front's half of an exchange. Dropping it before the answer has ended says that the client is gone.
 pub struct Caller {
     answer: oneshot::Receiver<Answer>,
-    gone: Gone,
+    gone: CancelGuard,
 }
 
 /// The core's half of an exchange.
 pub struct Carrier(oneshot::Sender<Answer>);
 
-/// Runs its action when dropped: the one place where a client's leaving is told.
-pub struct Gone(Option<Box<dyn FnOnce()>>);
+/// Runs its action when dropped: the one place where a client's leaving is reported.
+pub struct CancelGuard(Option<Box<dyn FnOnce()>>);
 
 /// Opens an exchange; `gone` runs when the front's half ends.
 pub fn open(gone: impl FnOnce() + 'static) -> (Caller, Carrier) {
     let (tx, answer) = oneshot::channel();
-    (Caller { answer, gone: Gone(Some(Box::new(gone))) }, Carrier(tx))
+    (Caller { answer, gone: CancelGuard(Some(Box::new(gone))) }, Carrier(tx))
 }
 
 impl Caller {
     /// Waits for the answer. The guard must live as long as the client is being answered. A core that has
     /// failed drops its half, which counts as a failure: the request may have run.
-    pub async fn answer(self) -> (Answer, Gone) {
+    pub async fn answer(self) -> (Answer, CancelGuard) {
         (self.answer.await.unwrap_or(Answer::Failed), self.gone)
     }
 }
@@ -88,7 +88,7 @@
     }
 }
 
-impl Drop for Gone {
+impl Drop for CancelGuard {
     fn drop(&mut self) {
         if let Some(tell) = self.0.take() {
             tell();
@@ -96,9 +96,9 @@
     }
 }
 
-impl fmt::Debug for Gone {
+impl fmt::Debug for CancelGuard {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Gone")
+        f.write_str("CancelGuard")
     }
 }
 
--- a/router/src/front/inference/mod.rs
+++ b/router/src/front/inference/mod.rs
@@ -31,7 +31,7 @@
 
 use super::account::{Account, Claim};
 use super::{is_word, retry_after, streamed, AnswerBody, Arriving, BodyError, ClientLimits, Front};
-use crate::core::{Asked, Handle};
+use crate::core::{Handle, IncomingRequest};
 use crate::exchange::{Answer, Broken, Message, Parts};
 use crate::shutdown::Phase;
 use crate::tenants::{Bearer, Tenants};
@@ -329,12 +329,12 @@
         Ok(Known { name, class: ClassId(class.unwrap_or(own)), kinds })
     }
 
-    /// What the core is asked for a part of a request.
-    fn asked(
+    /// What is submitted to the core for a part of a request.
+    fn incoming(
         &self, order: &Order, name: Rc<str>, model: Known, prompt_tokens: u64, message: Message,
-    ) -> Asked {
-        Asked {
-            name,
+    ) -> IncomingRequest {
+        IncomingRequest {
+            request_id: name,
             class: model.class,
             session: order.session.as_ref().map(|s| order.own_session(s)),
             prefix: None,
@@ -364,10 +364,10 @@
         let name = order.name.name.clone();
         let mut message = message(CHAT, &order.query, sent);
         message.headers.extend(order.idempotency_key.clone().map(|key| (IDEMPOTENCY_KEY, key)));
-        let mut asked = self.asked(&order, name.clone(), model, chat.prompt_tokens, message);
-        asked.max_tokens = chat.max_tokens.unwrap_or(0);
-        asked.session = asked.session.or(chat.user.as_ref().map(|user| order.own_session(user)));
-        let (answer, gone) = self.handle.ask(asked).answer().await;
+        let mut incoming = self.incoming(&order, name.clone(), model, chat.prompt_tokens, message);
+        incoming.max_tokens = chat.max_tokens.unwrap_or(0);
+        incoming.session = incoming.session.or(chat.user.as_ref().map(|user| order.own_session(user)));
+        let (answer, gone) = self.handle.submit(incoming).answer().await;
         let (media_type, parts) = served(answer, order.due)?;
         // Nothing further is sent for it: the body is let go.
         claim.shrink_to(STREAM_HELD);
@@ -504,8 +504,8 @@
         };
         let message = message(batch.form.target(), &order.query, body);
         // The guard ends with the slice: a client that leaves takes back the attempt that is out.
-        let asked = self.asked(order, name, model, slice.tokens, message);
-        let (answer, _gone) = self.handle.ask(asked).answer().await;
+        let incoming = self.incoming(order, name, model, slice.tokens, message);
+        let (answer, _gone) = self.handle.submit(incoming).answer().await;
         let parts = match answer {
             Answer::Served { parts, .. } => parts,
             Answer::Refused(pause) => {
@@ -513,8 +513,8 @@
                 return Sliced::Failed(SliceFailure::Refused(pause));
             }
             Answer::Failed => return failed,
-            Answer::Taken if slice.number == 0 => return Sliced::Taken,
-            Answer::Taken => return failed,
+            Answer::DuplicateId if slice.number == 0 => return Sliced::Taken,
+            Answer::DuplicateId => return failed,
         };
         drop(sending);
         let Some(claim) = self.account.claim(0) else { return failed };
@@ -563,7 +563,7 @@
         Answer::Refused(_) | Answer::Failed if Instant::now() >= due => Err(Failure::Deadline),
         Answer::Refused(pause) => Err(Failure::Refused(pause)),
         Answer::Failed => Err(Failure::Failed),
-        Answer::Taken => Err(Failure::Taken),
+        Answer::DuplicateId => Err(Failure::Taken),
     }
 }
 
--- a/router/src/front/inference/stream.rs
+++ b/router/src/front/inference/stream.rs
@@ -7,7 +7,7 @@
 use cranetack_inference::{ApiError, Events};
 use http_body::{Body, Frame};
 
-use crate::exchange::{Broken, Gone, Parts};
+use crate::exchange::{Broken, CancelGuard, Parts};
 use crate::front::account::Claim;
 
 enum State {
@@ -23,7 +23,7 @@
 pub struct EventStream {
     parts: Parts,
     /// Tells when the client is done.
-    _gone: Gone,
+    _gone: CancelGuard,
     /// What its parts count for.
     _claim: Claim,
     events: Events,
@@ -32,7 +32,7 @@
 
 impl EventStream {
     /// The events of a server's answer.
-    pub fn new(parts: Parts, gone: Gone, claim: Claim) -> EventStream {
+    pub fn new(parts: Parts, gone: CancelGuard, claim: Claim) -> EventStream {
         EventStream { parts, _gone: gone, _claim: claim, events: Events::default(), state: State::Passing }
     }
 
--- a/router/src/front/mod.rs
+++ b/router/src/front/mod.rs
@@ -30,7 +30,7 @@
 use tokio::sync::watch;
 use tower::Service;
 
-use crate::exchange::{Broken, Gone, Parts};
+use crate::exchange::{Broken, CancelGuard, Parts};
 use crate::shutdown::Phase;
 pub use body::{Arriving, BodyError};
 pub use connections::ClientLimits;
@@ -83,7 +83,7 @@
 pub struct Stream {
     parts: Parts,
     /// Tells when the client is done.
-    _gone: Gone,
+    _gone: CancelGuard,
     /// It has broken off, and what came before has had its turn to be written.
     broken: bool,
 }
@@ -100,7 +100,7 @@
     }
 
     /// The parts of a server's answer.
-    pub fn stream(parts: Parts, gone: Gone) -> AnswerBody {
+    pub fn stream(parts: Parts, gone: CancelGuard) -> AnswerBody {
         AnswerBody::Stream(Stream { parts, _gone: gone, broken: false })
     }
 }
@@ -158,7 +158,7 @@
 }
 
 /// The answer to a client that gets what a server says.
-fn streamed(media_type: &str, parts: Parts, gone: Gone) -> Response<AnswerBody> {
+fn streamed(media_type: &str, parts: Parts, gone: CancelGuard) -> Response<AnswerBody> {
     let mut response = Response::new(AnswerBody::stream(parts, gone));
     if let Ok(media_type) = HeaderValue::from_str(media_type) {
         response.headers_mut().insert(CONTENT_TYPE, media_type);
--- a/router/src/front/platform.rs
+++ b/router/src/front/platform.rs
@@ -14,7 +14,7 @@
 use super::connections::BODY_LIMIT;
 use super::headers::end_to_end;
 use super::{is_word, retry_after, streamed, AnswerBody, Arriving, BodyError, Front, Readiness};
-use crate::core::{Asked, Handle};
+use crate::core::{Handle, IncomingRequest};
 use crate::exchange::{Answer, Message};
 
 const CHAT: &str = "/v1/chat/completions";
@@ -40,7 +40,7 @@
         let (head, body) = request.into_parts();
         // The number of connections bounds what bodies hold here.
         let (body, _claim) = body.whole(None, BODY_LIMIT, &self.account).await?;
-        let caller = self.handle.ask(decode(&head, body, &self.classes)?);
+        let caller = self.handle.submit(decode(&head, body, &self.classes)?);
         let (answer, gone) = caller.answer().await;
         Ok(match answer {
             Answer::Served { media_type, parts } => streamed(&media_type, parts, gone),
@@ -50,7 +50,7 @@
                 response
             }
             Answer::Failed => text(StatusCode::BAD_GATEWAY, "failed: it may have run\n"),
-            Answer::Taken => text(StatusCode::CONFLICT, "another request with this id is open\n"),
+            Answer::DuplicateId => text(StatusCode::CONFLICT, "another request with this id is open\n"),
         })
     }
 }
@@ -112,7 +112,7 @@
     text.trim().parse().map_err(|_| Wrong::Unreadable(name))
 }
 
-fn decode(head: &Head, body: bytes::Bytes, classes: &[String]) -> Result<Asked, Wrong> {
+fn decode(head: &Head, body: bytes::Bytes, classes: &[String]) -> Result<IncomingRequest, Wrong> {
     let headers = &head.headers;
     let name = needed(headers, "X-Request-Id")?;
     if !is_word(name) {
@@ -125,8 +125,8 @@
     let retry = header(headers, "X-Retry")?;
     let target = head.uri.path_and_query().map_or(CHAT, |t| t.as_str()).to_owned();
     let media_type = header(headers, "content-type")?.unwrap_or("application/json").to_owned();
-    let mut asked = Asked {
-        name: name.into(),
+    let mut incoming = IncomingRequest {
+        request_id: name.into(),
         class: ClassId(class),
         session: header(headers, "X-Key")?.map(str::to_owned),
         prefix: None,
@@ -143,14 +143,14 @@
     for pair in header(headers, "X-Extras")?.unwrap_or("").split(',') {
         let Some((key, value)) = pair.trim().split_once('=') else { continue };
         match key {
-            "prefix" => asked.prefix = Some(value.to_owned()),
-            "prompt_len" => asked.prompt_tokens = number(value, "X-Extras")?,
-            "prefix_len" => asked.shared_tokens = number(value, "X-Extras")?,
-            "max_out" => asked.max_tokens = number(value, "X-Extras")?,
+            "prefix" => incoming.prefix = Some(value.to_owned()),
+            "prompt_len" => incoming.prompt_tokens = number(value, "X-Extras")?,
+            "prefix_len" => incoming.shared_tokens = number(value, "X-Extras")?,
+            "max_out" => incoming.max_tokens = number(value, "X-Extras")?,
             _ => {}
         }
     }
-    Ok(asked)
+    Ok(incoming)
 }
 
 #[cfg(test)]
@@ -177,14 +177,17 @@
 
     #[test]
     fn a_request_is_decoded_from_its_headers() {
-        let asked = decode(&head(&WHOLE), "{}".into(), &classes()).unwrap();
-        assert_eq!((&*asked.name, asked.class), ("9b1f", ClassId(1)));
-        assert_eq!(asked.session.as_deref(), Some("7f3a"));
-        assert_eq!(asked.prefix.as_deref(), Some("5c0f"));
-        assert_eq!((asked.prompt_tokens, asked.shared_tokens, asked.max_tokens), (5_120, 2_048, 800));
-        assert_eq!(asked.patience, Duration::from_millis(4_800));
-        assert_eq!(asked.message.target, "/v1/chat/completions?a=b");
-        assert!(!asked.retry && !asked.came_back);
+        let incoming = decode(&head(&WHOLE), "{}".into(), &classes()).unwrap();
+        assert_eq!((&*incoming.request_id, incoming.class), ("9b1f", ClassId(1)));
+        assert_eq!(incoming.session.as_deref(), Some("7f3a"));
+        assert_eq!(incoming.prefix.as_deref(), Some("5c0f"));
+        assert_eq!(
+            (incoming.prompt_tokens, incoming.shared_tokens, incoming.max_tokens),
+            (5_120, 2_048, 800)
+        );
+        assert_eq!(incoming.patience, Duration::from_millis(4_800));
+        assert_eq!(incoming.message.target, "/v1/chat/completions?a=b");
+        assert!(!incoming.retry && !incoming.came_back);
     }
 
     #[test]
@@ -207,7 +210,7 @@
     fn a_client_that_asks_for_the_rest_is_marked() {
         let mut headers = WHOLE.to_vec();
         headers.push(("X-Retry", "again"));
-        let asked = decode(&head(&headers), "{}".into(), &classes()).unwrap();
-        assert!(asked.retry && asked.came_back);
+        let incoming = decode(&head(&headers), "{}".into(), &classes()).unwrap();
+        assert!(incoming.retry && incoming.came_back);
     }
 }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -31,7 +31,7 @@
 use tokio::time::timeout;
 
 use crate::config::Config;
-use crate::core::{Clock, Core, Handle, Happening};
+use crate::core::{Clock, Core, CoreEvent, Handle};
 use crate::front::inference::Inference;
 use crate::front::platform::Platform;
 use crate::peers::Peers;
@@ -163,7 +163,7 @@
     /// Serves until `signal` completes and all that was taken is answered. Must run within a `LocalSet`.
     pub async fn serve(self, signal: impl Future<Output = ()> + 'static) {
         let Router { config, listener, second, tenants, control, discovery, peers } = self;
-        let (handle, happenings) = Handle::new();
+        let (handle, events) = Handle::new();
         if let Some(peers) = &peers {
             spawn_local(peers.clone().receive(handle.clone()));
         }
@@ -184,9 +184,9 @@
         let mut releases = outbound.releases();
         let settings = config.settings.clone();
         let core = Core::new(config.settings, config.seed, Clock::system(), outbound);
-        spawn_local(core.run(happenings));
+        spawn_local(core.run(events));
         if let Some(known) = &config.known {
-            handle.tell(Happening::Members(ListForm::Stale, known.listed(&config.facts)));
+            handle.send(CoreEvent::Members(ListForm::Stale, known.listed(&config.facts)));
         }
         let (fresh_tx, fresh) = watch::channel(false);
         let late = fresh_tx.clone();
@@ -206,7 +206,7 @@
             spawn_local(async move {
                 leaving.await;
                 let now = tokio::time::Instant::now();
-                handle.tell(Happening::Leaving(now + moved, now + answered));
+                handle.send(CoreEvent::Leaving(now + moved, now + answered));
             });
         }
         let readiness = front::Readiness::new(fresh, phase.clone());
--- a/router/src/peers.rs
+++ b/router/src/peers.rs
@@ -5,7 +5,7 @@
 use tokio::net::UdpSocket;
 
 use crate::config::Peering;
-use crate::core::{Handle, Happening};
+use crate::core::{CoreEvent, Handle};
 
 /// The most that a message may hold.
 const MESSAGE_MOST: usize = 256;
@@ -32,7 +32,7 @@
                 Ok((length, from)) => {
                     let number = self.peering.peers.iter().position(|peer| *peer == from);
                     if let Some(number) = number.and_then(|n| u32::try_from(n).ok()) {
-                        handle.tell(Happening::Peer(number, buffer[..length].to_vec()));
+                        handle.send(CoreEvent::Peer(number, buffer[..length].to_vec()));
                     }
                 }
                 // A peer that is down makes the next receive fail: that is no reason to stop or to spin.
--- a/router/src/upstream/mod.rs
+++ b/router/src/upstream/mod.rs
@@ -21,7 +21,7 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
-use crate::core::{AttemptId, Ended, Handle, Happening, Host, Order, Outbound, Place};
+use crate::core::{AttemptId, AttemptSpec, CoreEvent, Ended, Handle, Host, Outbound, Place};
 use crate::exchange::{self, Sink};
 use crate::peers::Peers;
 use pool::{ConnectionPool, PooledConnection};
@@ -78,7 +78,7 @@
 type Running = Rc<RefCell<HashMap<AttemptId, Control>>>;
 
 struct Control {
-    withdraw: Option<oneshot::Sender<()>>,
+    cancel: Option<oneshot::Sender<()>>,
     break_off: Option<oneshot::Sender<()>>,
     written: watch::Receiver<bool>,
 }
@@ -108,46 +108,46 @@
 }
 
 impl Outbound for Upstream {
-    fn send(&mut self, order: Order) {
-        let (withdraw, withdrawn) = oneshot::channel();
+    fn send(&mut self, spec: AttemptSpec) {
+        let (cancel, cancelled) = oneshot::channel();
         let (break_off, broken_off) = oneshot::channel();
         let (written_tx, written) = watch::channel(false);
-        let control = Control { withdraw: Some(withdraw), break_off: Some(break_off), written };
+        let control = Control { cancel: Some(cancel), break_off: Some(break_off), written };
         let report = Reporter {
-            attempt: order.attempt,
+            attempt: spec.attempt,
             handle: self.shared.handle.clone(),
             running: self.running.clone(),
             ended: Outcome::Reset.into(),
         };
-        self.running.borrow_mut().insert(order.attempt, control);
+        self.running.borrow_mut().insert(spec.attempt, control);
         let attempt =
-            Attempt { shared: self.shared.clone(), order, written: written_tx, withdrawn, broken_off };
+            Attempt { shared: self.shared.clone(), spec, written: written_tx, cancelled, broken_off };
         tokio::task::spawn_local(attempt.run(report));
     }
 
-    fn withdraw(&mut self, attempt: AttemptId, streaming: bool) {
+    fn cancel(&mut self, attempt: AttemptId, streaming: bool) {
         if let Some(control) = self.running.borrow_mut().get_mut(&attempt) {
-            let word = if streaming { &mut control.break_off } else { &mut control.withdraw };
+            let word = if streaming { &mut control.break_off } else { &mut control.cancel };
             word.take().map(|w| w.send(()));
         }
     }
 
-    fn place(&mut self, reading: AttemptId, name: Rc<str>, writer: Rc<Host>) {
+    fn reserve(&mut self, reading: AttemptId, request_id: Rc<str>, writer: Rc<Host>) {
         let Some(written) = self.running.borrow().get(&reading).map(|c| c.written.clone()) else { return };
         let shared = self.shared.clone();
         tokio::task::spawn_local(async move {
-            if let Some(place) = shared.ask_place(written, &name, &writer).await {
+            if let Some(place) = shared.request_reservation(written, &request_id, &writer).await {
                 let host = writer.id;
-                shared.handle.tell(Happening::Placed { reading, name, host, place });
+                shared.handle.send(CoreEvent::ReservationAnswered { reading, request_id, host, place });
             }
         });
     }
 
-    fn release(&mut self, _request: RequestId, name: Rc<str>, hosts: Vec<Rc<Host>>) {
+    fn release(&mut self, _request: RequestId, request_id: Rc<str>, hosts: Vec<Rc<Host>>) {
         let shared = self.shared.clone();
         shared.releases.send_modify(|running| *running += 1);
         tokio::task::spawn_local(async move {
-            shared.let_go(&name, &hosts).await;
+            shared.let_go(&request_id, &hosts).await;
             shared.releases.send_modify(|running| *running -= 1);
         });
     }
@@ -161,7 +161,7 @@
                 Ok(_) => (Outcome::Full, None),
                 Err(outcome) => (outcome, None),
             };
-            shared.handle.tell(Happening::Probed { host: host.id, outcome, spent: began.elapsed(), load });
+            shared.handle.send(CoreEvent::Probed { host: host.id, outcome, spent: began.elapsed(), load });
         });
     }
 
@@ -187,15 +187,15 @@
 impl Drop for Reporter {
     fn drop(&mut self) {
         self.running.borrow_mut().remove(&self.attempt);
-        self.handle.tell(Happening::Ended(self.attempt, self.ended));
+        self.handle.send(CoreEvent::AttemptEnded(self.attempt, self.ended));
     }
 }
 
 struct Attempt {
     shared: Rc<Shared>,
-    order: Order,
+    spec: AttemptSpec,
     written: watch::Sender<bool>,
-    withdrawn: oneshot::Receiver<()>,
+    cancelled: oneshot::Receiver<()>,
     broken_off: oneshot::Receiver<()>,
 }
 
@@ -210,13 +210,13 @@
         let mut slot = None;
         let begun = tokio::select! {
             biased;
-            begun = begin(&self.shared, &self.order, &self.written, &mut slot) => begun,
-            Ok(()) = &mut self.withdrawn => Begun::Ended(Outcome::Cancelled.into()),
-            () = sleep_until(self.order.expire) => Begun::Ended(Outcome::Late.into()),
+            begun = begin(&self.shared, &self.spec, &self.written, &mut slot) => begun,
+            Ok(()) = &mut self.cancelled => Begun::Ended(Outcome::Cancelled.into()),
+            () = sleep_until(self.spec.expire) => Begun::Ended(Outcome::Late.into()),
         };
         report.ended = match begun {
             Begun::Streams { body, first, media_type } => {
-                self.order.message = Rc::default();
+                self.spec.message = Rc::default();
                 self.stream(body, first, media_type, &mut slot).await
             }
             Begun::Ended(ended) => ended,
@@ -226,7 +226,7 @@
         if let Some(connection) = slot {
             let ended = report.ended.outcome;
             let (idle, all_written) = (connection.idle(), connection.progress().all_written());
-            tracing::debug!(id = %self.order.name, ?ended, ?idle, all_written, "a connection is given up");
+            tracing::debug!(id = %self.spec.request_id, ?ended, ?idle, all_written, "a connection is given up");
             if matches!(ended, Outcome::Late | Outcome::Reset) && !all_written {
                 report.ended = Outcome::NoConn.into();
             } else if ended == Outcome::Reset && connection.was_dropped() {
@@ -240,8 +240,8 @@
         &mut self, mut body: Incoming, first: Bytes, media_type: String, slot: &mut Option<PooledConnection>,
     ) -> Ended {
         let (sink, parts) = exchange::stream();
-        let attempt = self.order.attempt;
-        self.shared.handle.tell(Happening::Established { attempt, media_type, parts });
+        let attempt = self.spec.attempt;
+        self.shared.handle.send(CoreEvent::Established { attempt, media_type, parts });
         let progress = slot.as_ref().map(|connection| connection.progress().clone());
         let pumped = tokio::select! {
             pumped = pump(&mut body, first, sink, self.shared.options.silence, progress.as_deref()) => pumped,
@@ -289,33 +289,33 @@
 /// Sends the request and waits for the beginning of its answer, or its end. The connection stays in `slot`
 /// unless it has been given back.
 async fn begin(
-    shared: &Shared, order: &Order, written: &watch::Sender<bool>, slot: &mut Option<PooledConnection>,
+    shared: &Shared, spec: &AttemptSpec, written: &watch::Sender<bool>, slot: &mut Option<PooledConnection>,
 ) -> Begun {
     let none = || Begun::Ended(Outcome::NoConn.into());
     let answer = loop {
         // Workers drop kept connections unseen, and a request that is under way then may have run.
-        let connection = match order.delicate {
-            true => shared.pool.connect(&order.host, order.up_by).await,
-            false => shared.pool.acquire(&order.host, order.up_by).await,
+        let connection = match spec.non_idempotent {
+            true => shared.pool.connect(&spec.host, spec.up_by).await,
+            false => shared.pool.acquire(&spec.host, spec.up_by).await,
         };
         let Ok(connection) = connection else { return none() };
         // A connection may have taken its time: what drains by now is sent nothing more, nor is what is over.
-        if !order.host.is_open() || !order.wanted.get() {
+        if !spec.host.is_open() || !spec.wanted.get() {
             shared.pool.release(connection).await;
             return none();
         }
         let connection = slot.insert(connection);
-        let left = order.expire.saturating_duration_since(Instant::now()).as_millis();
+        let left = spec.expire.saturating_duration_since(Instant::now()).as_millis();
         let request = Request::builder()
             .method(Method::POST)
-            .uri(order.message.target.as_str())
+            .uri(spec.message.target.as_str())
             .header("host", "worker")
-            .header("x-request-id", &*order.name)
+            .header("x-request-id", &*spec.request_id)
             .header("x-deadline-ms", left.to_string())
-            .header("content-type", order.message.media_type.as_str())
-            .body(order.message.body.clone());
+            .header("content-type", spec.message.media_type.as_str())
+            .body(spec.message.body.clone());
         let Ok(mut request) = request else { return Begun::Ended(Outcome::Nop.into()) };
-        request.headers_mut().extend(order.message.headers.clone());
+        request.headers_mut().extend(spec.message.headers.clone());
         let progress = connection.progress().clone();
         let told = async {
             progress.wait_all_written().await;
@@ -444,8 +444,8 @@
     }
 
     /// Asks for a place once the reading request's last byte is out; `None` if nothing was asked.
-    async fn ask_place(
-        &self, mut written: watch::Receiver<bool>, name: &str, writer: &Host,
+    async fn request_reservation(
+        &self, mut written: watch::Receiver<bool>, request_id: &str, writer: &Host,
     ) -> Option<Place> {
         let until = Instant::now() + self.options.connect_timeout;
         // The reading attempt's end drops the sender: then there is no read to hold a place for.
@@ -456,7 +456,7 @@
             self.pool.release(connection).await;
             return None;
         }
-        let request = call(Method::POST, &format!("/bootstrap/rooms/{name}"))?;
+        let request = call(Method::POST, &format!("/bootstrap/rooms/{request_id}"))?;
         match self.call(connection, request, Instant::now() + PLACE_WAIT).await {
             Ok((StatusCode::OK, _)) => Some(Place::Held),
             Ok((StatusCode::CONFLICT, _)) => Some(Place::Refused),
@@ -466,7 +466,7 @@
     }
 
     /// Lets go of all that is held for a request, through the first of the servers that answers.
-    async fn let_go(&self, name: &str, hosts: &[Rc<Host>]) {
+    async fn let_go(&self, request_id: &str, hosts: &[Rc<Host>]) {
         let give_up = Instant::now() + RELEASE_FOR;
         for host in hosts.iter().cycle() {
             let until = Instant::now() + RELEASE_WAIT;
@@ -478,11 +478,13 @@
                 tokio::time::sleep(Duration::from_millis(5)).await;
                 continue;
             };
-            let Some(request) = call(Method::DELETE, &format!("/bootstrap/rooms/{name}")) else { return };
+            let Some(request) = call(Method::DELETE, &format!("/bootstrap/rooms/{request_id}")) else {
+                return;
+            };
             if self.call(connection, request, until).await.is_ok() {
                 return;
             }
         }
-        tracing::warn!(request = name, "nobody could be told to let go");
+        tracing::warn!(request = request_id, "nobody could be told to let go");
     }
 }
--- a/router/src/upstream/model.rs
+++ b/router/src/upstream/model.rs
@@ -11,7 +11,7 @@
 
 use super::pool::{ConnectionPool, PooledConnection, REST};
 use super::{call, Options, Upstream};
-use crate::core::{AttemptId, Ended, Handle, Happening, Host, Order, Outbound};
+use crate::core::{AttemptId, AttemptSpec, CoreEvent, Ended, Handle, Host, Outbound};
 use cranetack::{Outcome, RequestId};
 use cranetack_facts::Report;
 use cranetack_standins::{run_paused, Behaviour, Worker};
@@ -177,7 +177,7 @@
 fn an_attempt_without_a_connection_ends_when_what_is_held_can_wait_no_longer() {
     run_paused(async {
         let worker = Worker::start(1, Behaviour::Answer).await;
-        let (handle, mut happenings) = Handle::new();
+        let (handle, mut events) = Handle::new();
         let options = Options {
             connection_limit: 1,
             connect_timeout: Duration::from_millis(250),
@@ -191,19 +191,19 @@
         let _only = upstream.shared.pool.connect(&host, now + KEEP).await.unwrap();
         let attempt = AttemptId { request: RequestId(1), number: 1 };
         let (expire, up_by) = (now + KEEP, now + ms(90));
-        let (name, message) = ("q".into(), Rc::default());
-        upstream.send(Order {
+        let (request_id, message) = ("q".into(), Rc::default());
+        upstream.send(AttemptSpec {
             attempt,
-            name,
+            request_id,
             host,
             expire,
             up_by,
             wanted: Rc::new(Cell::new(true)),
-            delicate: true,
+            non_idempotent: true,
             message,
         });
-        let ended = happenings.recv().await;
-        let Some(Happening::Ended(_, Ended { outcome, .. })) = ended else { panic!("no end") };
+        let ended = events.recv().await;
+        let Some(CoreEvent::AttemptEnded(_, Ended { outcome, .. })) = ended else { panic!("no end") };
         assert_eq!(outcome, Outcome::NoConn);
         assert!((ms(90)..ms(100)).contains(&now.elapsed()), "{:?}", now.elapsed());
     });
--- a/router/tests/core.rs
+++ b/router/tests/core.rs
@@ -10,7 +10,8 @@
     Stage, ZoneId,
 };
 use cranetack_router::core::{
-    Asked, AttemptId, Clock, Core, Ended, Handle, Happening, Host, Listed, Order, Outbound, Place,
+    AttemptId, AttemptSpec, Clock, Core, CoreEvent, Ended, Handle, Host, IncomingRequest, Listed, Outbound,
+    Place,
 };
 use cranetack_router::exchange::{self, Answer, Caller, Message};
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -19,7 +20,7 @@
 #[derive(Debug, PartialEq)]
 enum Told {
     Send(AttemptId, String),
-    Withdraw(AttemptId),
+    Cancel(AttemptId),
     Place(String),
     Release(String),
     Closed(HostId),
@@ -48,21 +49,21 @@
 }
 
 impl Outbound for Notes {
-    fn send(&mut self, order: Order) {
+    fn send(&mut self, spec: AttemptSpec) {
         assert!(!self.panics.take(), "a panic on purpose");
-        self.up_by.set(Some(order.up_by));
-        self.wanted.replace(order.wanted.clone());
-        self.note(Told::Send(order.attempt, order.host.name.clone()));
+        self.up_by.set(Some(spec.up_by));
+        self.wanted.replace(spec.wanted.clone());
+        self.note(Told::Send(spec.attempt, spec.host.name.clone()));
     }
-    fn withdraw(&mut self, attempt: AttemptId, _streaming: bool) {
-        self.note(Told::Withdraw(attempt));
+    fn cancel(&mut self, attempt: AttemptId, _streaming: bool) {
+        self.note(Told::Cancel(attempt));
     }
-    fn place(&mut self, _reading: AttemptId, _name: Rc<str>, writer: Rc<Host>) {
+    fn reserve(&mut self, _reading: AttemptId, _request_id: Rc<str>, writer: Rc<Host>) {
         self.note(Told::Place(writer.name.clone()));
     }
-    fn release(&mut self, _request: RequestId, name: Rc<str>, hosts: Vec<Rc<Host>>) {
+    fn release(&mut self, _request: RequestId, request_id: Rc<str>, hosts: Vec<Rc<Host>>) {
         self.through.replace(hosts.iter().map(|h| h.name.clone()).collect());
-        self.note(Told::Release(name.to_string()));
+        self.note(Told::Release(request_id.to_string()));
     }
     fn probe(&mut self, _host: Rc<Host>) {}
     fn close_idle(&mut self, host: HostId) {
@@ -75,7 +76,7 @@
     core: Core<Notes>,
     notes: Notes,
     handle: Handle,
-    happenings: UnboundedReceiver<Happening>,
+    events: UnboundedReceiver<CoreEvent>,
 }
 
 fn listed(name: &str, kind: usize, readiness: Readiness) -> Listed {
@@ -104,16 +105,16 @@
             max_attempts: Some(9),
             ..Settings::default()
         };
-        let (notes, (handle, happenings)) = (Notes::default(), Handle::new());
+        let (notes, (handle, events)) = (Notes::default(), Handle::new());
         let mut core = Core::new(settings, 7, Clock::system(), notes.clone());
         let lines = vec![listed("reader", 0, Readiness::Up), listed("writer", 1, Readiness::Up)];
-        core.handle(Happening::Members(ListForm::Stale, lines));
-        Bench { core, notes, handle, happenings }
+        core.handle(CoreEvent::Members(ListForm::Stale, lines));
+        Bench { core, notes, handle, events }
     }
 
     fn drain(&mut self) {
-        while let Ok(happening) = self.happenings.try_recv() {
-            self.core.handle(happening);
+        while let Ok(event) = self.events.try_recv() {
+            self.core.handle(event);
         }
     }
 
@@ -124,7 +125,7 @@
     }
 
     fn ended(&mut self, number: u32, outcome: Outcome) {
-        self.core.handle(Happening::Ended(attempt(number), Ended::from(outcome)));
+        self.core.handle(CoreEvent::AttemptEnded(attempt(number), Ended::from(outcome)));
     }
 
     /// A prompt that has been read: the attempt at the writer is out.
@@ -144,17 +145,22 @@
 
     fn placed(&mut self, place: Place) {
         let host = Host::new("writer", "127.0.0.1:1".parse().unwrap()).id;
-        self.core.handle(Happening::Placed { reading: attempt(0), name: "q".into(), host, place });
+        self.core.handle(CoreEvent::ReservationAnswered {
+            reading: attempt(0),
+            request_id: "q".into(),
+            host,
+            place,
+        });
     }
 }
 
 fn hand_in(handle: &Handle, name: &str) -> Caller {
-    handle.ask(asked(name))
+    handle.submit(incoming(name))
 }
 
-fn asked(name: &str) -> Asked {
-    Asked {
-        name: name.into(),
+fn incoming(request_id: &str) -> IncomingRequest {
+    IncomingRequest {
+        request_id: request_id.into(),
         class: ClassId(0),
         session: None,
         prefix: None,
@@ -181,7 +187,7 @@
     bench.notes.take();
     drop(caller);
     bench.drain();
-    assert_eq!(bench.notes.take(), [Told::Withdraw(attempt(0))]);
+    assert_eq!(bench.notes.take(), [Told::Cancel(attempt(0))]);
     bench.ended(0, Outcome::Cancelled);
     assert_eq!(bench.notes.take(), [Told::Release("q".to_owned())]);
 }
@@ -205,7 +211,7 @@
     let reader = Host::new("reader", "127.0.0.1:1".parse().unwrap()).id;
     for (last_start, told) in [(None, vec![]), (Some(7), vec![Told::Closed(reader)]), (Some(7), vec![])] {
         let line = Listed { last_start, ..listed("reader", 0, Readiness::Up) };
-        bench.core.handle(Happening::Members(ListForm::Patch, vec![line]));
+        bench.core.handle(CoreEvent::Members(ListForm::Patch, vec![line]));
         assert_eq!(bench.notes.take(), told, "{last_start:?}");
     }
 }
@@ -272,7 +278,7 @@
 async fn what_is_held_waits_no_longer_than_its_limit_for_connections_that_do_not_come_up() {
     let mut bench = Bench::new(Effect::Unsafe);
     let writers = (0..9).map(|n| listed(&format!("writer {n}"), 1, Readiness::Up)).collect();
-    bench.core.handle(Happening::Members(ListForm::Patch, writers));
+    bench.core.handle(CoreEvent::Members(ListForm::Patch, writers));
     let _caller = bench.ask();
     bench.ended(0, Outcome::HalfDone);
     let read = Instant::now();
@@ -299,10 +305,10 @@
 async fn what_is_held_is_let_go_through_the_servers_that_answered_last() {
     let mut bench = Bench::new(Effect::Unsafe);
     let others = (0..20).map(|n| listed(&format!("other {n}"), 1, Readiness::Up)).collect();
-    bench.core.handle(Happening::Members(ListForm::Patch, others));
+    bench.core.handle(CoreEvent::Members(ListForm::Patch, others));
     let probed = Host::new("other 7", "127.0.0.1:1".parse().unwrap()).id;
     let (outcome, spent) = (Outcome::Good, Duration::from_millis(1));
-    bench.core.handle(Happening::Probed { host: probed, outcome, spent, load: None });
+    bench.core.handle(CoreEvent::Probed { host: probed, outcome, spent, load: None });
     tokio::time::advance(Duration::from_millis(1)).await;
     let caller = bench.ask();
     bench.ended(0, Outcome::HalfDone);
@@ -320,7 +326,7 @@
     let caller = bench.read();
     let (sink, parts) = exchange::stream();
     let media_type = "text/event-stream".to_owned();
-    bench.core.handle(Happening::Established { attempt: attempt(1), media_type, parts });
+    bench.core.handle(CoreEvent::Established { attempt: attempt(1), media_type, parts });
     drop(sink);
     bench.ended(1, Outcome::Reset);
     bench.ended(1, Outcome::Good);
@@ -339,17 +345,17 @@
     let bench = Bench::new(Effect::Safe);
     bench.notes.panics.set(true);
     let first = hand_in(&bench.handle, "q");
-    let Bench { core, notes, handle, happenings } = bench;
+    let Bench { core, notes, handle, events } = bench;
     let serving = async {
         assert!(matches!(first.answer().await.0, Answer::Failed));
-        assert_eq!(notes.take(), [Told::Withdraw(attempt(0)), Told::Release("q".to_owned())]);
+        assert_eq!(notes.take(), [Told::Cancel(attempt(0)), Told::Release("q".to_owned())]);
         let _second = hand_in(&handle, "r");
         tokio::time::sleep(Duration::from_millis(1)).await;
         let sent = |told: &Told| matches!(told, Told::Send(_, host) if host == "reader");
         assert!(notes.take().iter().any(sent));
     };
     tokio::select! {
-        () = core.run(happenings) => panic!("the core ends with its handles"),
+        () = core.run(events) => panic!("the core ends with its handles"),
         () = serving => {}
     }
 }
@@ -360,7 +366,7 @@
 async fn a_request_without_hope_is_refused_no_later_than_its_deadline() {
     let mut bench = Bench::new(Effect::Safe);
     let lines = vec![listed("reader", 0, Readiness::Draining), listed("writer", 1, Readiness::Gone)];
-    bench.core.handle(Happening::Members(ListForm::Patch, lines));
+    bench.core.handle(CoreEvent::Members(ListForm::Patch, lines));
     bench.notes.take();
     let caller = bench.ask();
     tokio::time::advance(Duration::from_millis(2_010)).await;
@@ -378,7 +384,7 @@
     bench.notes.take();
     tokio::time::advance(Duration::from_millis(2_010)).await;
     bench.core.fire();
-    assert_eq!(bench.notes.take(), [Told::Withdraw(attempt(0))]);
+    assert_eq!(bench.notes.take(), [Told::Cancel(attempt(0))]);
     let answer = caller.answer();
     tokio::pin!(answer);
     assert!(std::future::poll_fn(|cx| std::task::Poll::Ready(answer.as_mut().poll(cx).is_pending())).await);
@@ -391,13 +397,13 @@
 async fn a_body_is_let_go_once_its_answer_has_begun() {
     let mut bench = Bench::new(Effect::Safe);
     let message = Rc::new(Message { target: "/x".to_owned(), ..Message::default() });
-    let _caller = bench.handle.ask(Asked { message: message.clone(), ..asked("q") });
+    let _caller = bench.handle.submit(IncomingRequest { message: message.clone(), ..incoming("q") });
     bench.drain();
     bench.ended(0, Outcome::HalfDone);
     assert_eq!(Rc::strong_count(&message), 2);
     let (_sink, parts) = exchange::stream();
     let media_type = "text/event-stream".to_owned();
-    bench.core.handle(Happening::Established { attempt: attempt(1), media_type, parts });
+    bench.core.handle(CoreEvent::Established { attempt: attempt(1), media_type, parts });
     assert_eq!(Rc::strong_count(&message), 1);
 }
 
@@ -406,10 +412,10 @@
 async fn a_machine_that_is_gone_is_forgotten_with_its_connections() {
     let mut bench = Bench::new(Effect::Safe);
     let reader = Host::new("reader", "127.0.0.1:1".parse().unwrap()).id;
-    bench.core.handle(Happening::Members(ListForm::Patch, vec![listed("reader", 0, Readiness::Gone)]));
+    bench.core.handle(CoreEvent::Members(ListForm::Patch, vec![listed("reader", 0, Readiness::Gone)]));
     assert_eq!(bench.notes.take(), [Told::Closed(reader)]);
-    bench.core.handle(Happening::Members(ListForm::Patch, vec![listed("writer", 1, Readiness::Draining)]));
+    bench.core.handle(CoreEvent::Members(ListForm::Patch, vec![listed("writer", 1, Readiness::Draining)]));
     assert_eq!(bench.notes.take(), [], "one that drains finishes what it has");
-    bench.core.handle(Happening::Members(ListForm::Whole, vec![listed("reader", 0, Readiness::Up)]));
+    bench.core.handle(CoreEvent::Members(ListForm::Whole, vec![listed("reader", 0, Readiness::Up)]));
     assert_eq!(bench.notes.take().len(), 1);
 }
