--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -1,288 +1,33 @@
 //! The core: it owns the decision module, the clock, the timers and the table of requests and attempts. Typed
 //! events become the module's events, and its actions are carried out through [`Outbound`]. It knows no
 //! wire. It is the one place that ends a request.
+mod clock;
+mod handle;
+mod messages;
+mod server;
 
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
-use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use cranetack::{
-    Action, Ask, CellId, ClassId, Effect, Event, HostId, KindId, ListForm, Load, Member, Micros, Outcome,
-    Policy, PrefixId, Readiness, RequestId, SessionId, Settings, Stage, Standing, ZoneId,
+    Action, Ask, Effect, Event, HostId, ListForm, Member, Micros, Outcome, Policy, PrefixId, Readiness,
+    RequestId, SessionId, Settings, Stage, Standing,
 };
-use tokio::sync::{mpsc, oneshot};
-use tokio::time::Instant;
-
-use crate::exchange::{self, Answer, Caller, Carrier, Message, Parts};
-
-/// The clock: microseconds of Unix time, read once from the system and then advanced monotonically, so that
-/// start times in the list can be compared and a step of the system's clock moves no deadline.
-#[derive(Debug, Clone, Copy)]
-pub struct Clock {
-    start: Instant,
-    unix: Micros,
-}
-
-impl Clock {
-    /// A clock that starts from the system's time.
-    pub fn system() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix: micros(unix) }
-    }
-
-    /// Now.
-    pub fn now(&self) -> Micros {
-        self.unix.saturating_add(micros(self.start.elapsed()))
-    }
-
-    /// The point in time of an instant.
-    pub fn at(&self, instant: Instant) -> Micros {
-        self.now().saturating_add(micros(instant.saturating_duration_since(Instant::now())))
-    }
-
-    /// The instant of a point in time; one that has passed is now.
-    pub fn instant(&self, at: Micros) -> Instant {
-        Instant::now() + Duration::from_micros(u64::try_from(at.saturating_sub(self.now())).unwrap_or(0))
-    }
-}
-
-fn micros(span: Duration) -> Micros {
-    Micros::try_from(span.as_micros()).unwrap_or(Micros::MAX)
-}
-
-/// A number for a word that is the same at every router: FNV-1a.
-fn stable(word: &str) -> u64 {
-    word.bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
-}
-
-/// A server as the list has it now. Shared with the upstream, which must look at the moment of writing.
-#[derive(Debug)]
-pub struct Host {
-    /// Its number.
-    pub id: HostId,
-    /// Its name, the same at every router.
-    pub name: String,
-    address: Cell<SocketAddr>,
-    open: Cell<bool>,
-    /// When it last answered us.
-    heard: Cell<Micros>,
-}
-
-impl Host {
-    /// A server that takes work.
-    pub fn new(name: &str, address: SocketAddr) -> Host {
-        Host {
-            id: HostId(stable(name)),
-            name: name.to_owned(),
-            address: Cell::new(address),
-            open: Cell::new(true),
-            heard: Cell::new(Micros::MIN),
-        }
-    }
-
-    /// Where it listens.
-    pub fn address(&self) -> SocketAddr {
-        self.address.get()
-    }
-
-    /// Whether new work may be written to it: the list says that it is up.
-    pub fn is_open(&self) -> bool {
-        self.open.get()
-    }
-}
-
-/// A line of the list of servers.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Listed {
-    /// Its name.
-    pub name: String,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Its zone.
-    pub zone: ZoneId,
-    /// Its kind.
-    pub kind: KindId,
-    /// Its cell.
-    pub cell: CellId,
-    /// Whether it takes work.
-    pub readiness: Readiness,
-    /// Its size beside others of its stage.
-    pub weight: f64,
-    /// When it last started; absent for long ago.
-    pub last_start: Option<Micros>,
-}
-
-/// A request as a front has decoded it.
-#[derive(Debug, Clone)]
-pub struct IncomingRequest {
-    /// Its id on the wire.
-    pub request_id: Rc<str>,
-    /// Its class.
-    pub class: ClassId,
-    /// Its session.
-    pub session: Option<String>,
-    /// The opening that it shares with other sessions.
-    pub prefix: Option<String>,
-    /// How long the client waits for the first part of the answer.
-    pub patience: Duration,
-    /// Rough length of the answer as time.
-    pub hint: Option<Duration>,
-    /// Tokens in the prompt.
-    pub prompt_tokens: u64,
-    /// Tokens of these that belong to the shared opening.
-    pub shared_tokens: u64,
-    /// Most tokens of the answer.
-    pub max_tokens: u64,
-    /// The client is trying again.
-    pub retry: bool,
-    /// The client asks for the rest of a broken stream.
-    pub came_back: bool,
-    /// The kinds of server that it may go to, a bit for each; any where it does not say.
-    pub kinds: Option<u64>,
-    /// What servers are sent.
-    pub message: Rc<Message>,
-}
-
-/// What came of a request for a place at a writer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Place {
-    /// It is held.
-    Held,
-    /// It is not held.
-    Refused,
-    /// The writer may hold it, but did not say.
-    Unsure,
-}
-
-/// How an attempt ended.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Ended {
-    /// How.
-    pub outcome: Outcome,
-    /// Prompt tokens found kept; or 1 where no state was there to fetch, or a kept connection had been dropped.
-    pub info: u64,
-    /// The server's report, if one came along.
-    pub load: Option<Load>,
-}
-
-impl From<Outcome> for Ended {
-    fn from(outcome: Outcome) -> Ended {
-        Ended { outcome, info: 0, load: None }
-    }
-}
-
-/// An attempt at a server: the request's number, and the attempt's.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct AttemptId {
-    /// The request.
-    pub request: RequestId,
-    /// The attempt, from 0.
-    pub number: u32,
-}
-
-/// What has happened outside the core.
-pub enum CoreEvent {
-    /// A request came in.
-    Submitted(RequestId, IncomingRequest, Carrier),
-    /// Its client has gone, or has been answered in full.
-    ClientGone(RequestId),
-    /// The first part of an attempt's answer is here.
-    Established {
-        /// The attempt.
-        attempt: AttemptId,
-        /// The media type of the answer.
-        media_type: String,
-        /// The answer.
-        parts: Parts,
-    },
-    /// An attempt has ended, and its connection no longer carries it.
-    AttemptEnded(AttemptId, Ended),
-    /// A request for a place was answered, or may have been heard.
-    ReservationAnswered {
-        /// The attempt whose read the place was asked for.
-        reading: AttemptId,
-        /// Its id on the wire.
-        request_id: Rc<str>,
-        /// The writer.
-        host: HostId,
-        /// What came of it.
-        place: Place,
-    },
-    /// A probe has ended.
-    Probed {
-        /// The server.
-        host: HostId,
-        /// How.
-        outcome: Outcome,
-        /// How long it took.
-        spent: Duration,
-        /// The server's report.
-        load: Option<Load>,
-    },
-    /// News of the list of servers.
-    Members(ListForm, Vec<Listed>),
-    /// Another router's message.
-    Peer(u32, Vec<u8>),
-    /// The router ends: clients are sent elsewhere from one instant on, and all must be answered by another.
-    Leaving(Instant, Instant),
-    /// Somebody asks how the module stands towards the servers.
-    StatusRequested(oneshot::Sender<Vec<EndpointStatus>>),
-}
-
-/// A server, and how the module stands towards it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct EndpointStatus {
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Its line of the list.
-    pub member: Member,
-    /// How the module stands towards it.
-    pub standing: Standing,
-}
-
-/// An attempt to be made.
-#[derive(Clone)]
-pub struct AttemptSpec {
-    /// The attempt.
-    pub attempt: AttemptId,
-    /// The request's id on the wire.
-    pub request_id: Rc<str>,
-    /// The server.
-    pub host: Rc<Host>,
-    /// When to give it up, unless its answer has begun.
-    pub expire: Instant,
-    /// When to give it up, unless it has a connection.
-    pub up_by: Instant,
-    /// Whether the request still wants an answer.
-    pub wanted: Rc<Cell<bool>>,
-    /// It must not run twice, so it had better not go over a connection that may break under it.
-    pub non_idempotent: bool,
-    /// What to send.
-    pub message: Rc<Message>,
-}
-
-/// What the core has done outside. None of these may wait: they start work and report as events.
-pub trait Outbound {
-    /// Makes an attempt.
-    fn send(&mut self, order: AttemptSpec);
-    /// Cancels an attempt; one that streams only if `streaming`, which breaks its answer off.
-    fn cancel(&mut self, attempt: AttemptId, streaming: bool);
-    /// Asks a writer for a place, once the reading request is out.
-    fn reserve(&mut self, reading: AttemptId, request_id: Rc<str>, writer: Rc<Host>);
-    /// Lets go of all that is held for a request, through the first of these servers that can be reached.
-    fn release(&mut self, request: RequestId, request_id: Rc<str>, hosts: Vec<Rc<Host>>);
-    /// Probes a server.
-    fn probe(&mut self, host: Rc<Host>);
-    /// Closes idle connections to a server.
-    fn close_idle(&mut self, host: HostId);
-    /// Sends a message to one router or to all.
-    fn publish(&mut self, to: Option<u32>, bytes: Vec<u8>);
-}
+use tokio::sync::mpsc;
+
+use crate::exchange::{Answer, Carrier, Parts};
+use clock::micros;
+pub use clock::Clock;
+pub use handle::Handle;
+pub use messages::{
+    AttemptId, AttemptSpec, CoreEvent, Ended, EndpointStatus, IncomingRequest, Outbound, Place,
+};
+use server::stable;
+pub use server::{Host, Listed};
 
 struct Request {
     incoming: IncomingRequest,
@@ -324,43 +69,6 @@
     turn: usize,
 }
 
-/// Through which the other parts tell the core what has happened. Cheap to clone.
-#[derive(Clone)]
-pub struct Handle {
-    events: mpsc::UnboundedSender<CoreEvent>,
-    next: Rc<Cell<u32>>,
-}
-
-impl Handle {
-    /// A handle, and where its events come out.
-    pub fn new() -> (Handle, mpsc::UnboundedReceiver<CoreEvent>) {
-        let (events, rx) = mpsc::unbounded_channel();
-        (Handle { events, next: Rc::new(Cell::new(0)) }, rx)
-    }
-
-    /// Sends the core an event. Once it has stopped, nobody needs to know.
-    pub fn send(&self, event: CoreEvent) {
-        let _ = self.events.send(event);
-    }
-
-    /// Asks how the module stands towards the servers; `None` once the core has stopped.
-    pub async fn endpoint_statuses(&self) -> Option<Vec<EndpointStatus>> {
-        let (tx, rx) = oneshot::channel();
-        self.send(CoreEvent::StatusRequested(tx));
-        rx.await.ok()
-    }
-
-    /// Hands a request in.
-    pub fn submit(&self, incoming: IncomingRequest) -> Caller {
-        let id = RequestId(self.next.get());
-        self.next.set(id.0.wrapping_add(1));
-        let handle = self.clone();
-        let (caller, carrier) = exchange::open(move || handle.send(CoreEvent::ClientGone(id)));
-        self.send(CoreEvent::Submitted(id, incoming, carrier));
-        caller
-    }
-}
-
 impl<O: Outbound> Core<O> {
     /// A core that knows no servers yet.
     pub fn new(settings: Settings, seed: u64, clock: Clock, outbound: O) -> Core<O> {
--- /dev/null
+++ b/router/src/core/clock.rs
@@ -0,0 +1,42 @@
+//! The core's clock.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use cranetack::Micros;
+use tokio::time::Instant;
+
+/// The clock: microseconds of Unix time, read once from the system and then advanced monotonically, so that
+/// start times in the list can be compared and a step of the system's clock moves no deadline.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: Micros,
+}
+
+impl Clock {
+    /// A clock that starts from the system's time.
+    pub fn system() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix: micros(unix) }
+    }
+
+    /// Now.
+    pub fn now(&self) -> Micros {
+        self.unix.saturating_add(micros(self.start.elapsed()))
+    }
+
+    /// The point in time of an instant.
+    pub fn at(&self, instant: Instant) -> Micros {
+        self.now().saturating_add(micros(instant.saturating_duration_since(Instant::now())))
+    }
+
+    /// The instant of a point in time; one that has passed is now.
+    pub fn instant(&self, at: Micros) -> Instant {
+        Instant::now() + Duration::from_micros(u64::try_from(at.saturating_sub(self.now())).unwrap_or(0))
+    }
+}
+
+/// A span in the module's unit.
+pub(super) fn micros(span: Duration) -> Micros {
+    Micros::try_from(span.as_micros()).unwrap_or(Micros::MAX)
+}
