--- /dev/null
+++ b/router/src/upstream/calls.rs
@@ -0,0 +1,119 @@
+//! Short calls of servers: probes, reservations and releases.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cranetack::Outcome;
+use http::{Method, Request, StatusCode};
+use http_body::Body;
+use http_body_util::{BodyExt, Limited};
+use tokio::sync::watch;
+use tokio::time::{timeout_at, Instant};
+
+use super::pool::PooledConnection;
+use super::{Shared, BODY_MOST};
+use crate::core::{Host, Place};
+
+/// How long a writer may take to answer a request for a place. It says after 300 ms that it knows of no read; what it
+/// then holds for nobody must be let go within the same span again.
+const PLACE_WAIT: Duration = Duration::from_millis(500);
+/// How long one server may take to let go before another is asked ...
+const RELEASE_WAIT: Duration = Duration::from_millis(120);
+/// ... and how long this is tried for.
+const RELEASE_FOR: Duration = Duration::from_secs(10);
+
+pub(super) async fn collect<B: Body<Data = Bytes>>(
+    body: B,
+) -> Result<Bytes, Box<dyn std::error::Error + Send + Sync>>
+where
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    Ok(Limited::new(body, BODY_MOST).collect().await?.to_bytes())
+}
+
+/// A call without a body.
+pub(super) fn call(method: Method, target: &str) -> Option<Request<Bytes>> {
+    Request::builder().method(method).uri(target).header("host", "worker").body(Bytes::new()).ok()
+}
+
+impl Shared {
+    /// Makes a short call and gives its connection back. `Err` says whether the call may have been heard.
+    async fn call(
+        &self, connection: PooledConnection, request: Request<Bytes>, until: Instant,
+    ) -> Result<(StatusCode, Bytes), bool> {
+        let mut connection = connection;
+        let answer = timeout_at(until, async {
+            let answer = connection.send(request).await.ok()?;
+            let status = answer.status();
+            Some((status, collect(answer.into_body()).await.ok()?))
+        });
+        match answer.await.ok().flatten() {
+            Some(answer) => {
+                self.pool.release(connection).await;
+                Ok(answer)
+            }
+            None => {
+                let heard = connection.progress().all_written();
+                connection.close().await;
+                Err(heard)
+            }
+        }
+    }
+
+    pub(super) async fn load(&self, host: &Host) -> Result<(StatusCode, String), Outcome> {
+        let until = Instant::now() + self.options.connect_timeout;
+        let connection = self.pool.acquire(host, until).await.map_err(|_| Outcome::NoConn)?;
+        let request = call(Method::GET, "/metrics/load").ok_or(Outcome::Nop)?;
+        match self.call(connection, request, until).await {
+            Ok((status, body)) => Ok((status, String::from_utf8_lossy(&body).into_owned())),
+            Err(true) => Err(Outcome::Late),
+            Err(false) => Err(Outcome::NoConn),
+        }
+    }
+
+    /// Asks for a place once the reading request's last byte is out; `None` if nothing was asked.
+    pub(super) async fn request_reservation(
+        &self, mut written: watch::Receiver<bool>, request_id: &str, writer: &Host,
+    ) -> Option<Place> {
+        let until = Instant::now() + self.options.connect_timeout;
+        // The reading attempt's end drops the sender: then there is no read to hold a place for.
+        let out = async { written.wait_for(|w| *w).await.is_ok() };
+        let (out, connection) = tokio::join!(out, self.pool.acquire(writer, until));
+        let connection = connection.ok()?;
+        if !out || written.has_changed().is_err() || !writer.is_open() {
+            self.pool.release(connection).await;
+            return None;
+        }
+        let request = call(Method::POST, &format!("/bootstrap/rooms/{request_id}"))?;
+        match self.call(connection, request, Instant::now() + PLACE_WAIT).await {
+            Ok((StatusCode::OK, _)) => Some(Place::Held),
+            Ok((StatusCode::CONFLICT, _)) => Some(Place::Refused),
+            Ok((StatusCode::NOT_FOUND, _)) | Err(false) => None,
+            Ok(_) | Err(true) => Some(Place::Unsure),
+        }
+    }
+
+    /// Lets go of all that is held for a request, through the first of the servers that answers.
+    pub(super) async fn let_go(&self, request_id: &str, hosts: &[Rc<Host>]) {
+        let give_up = Instant::now() + RELEASE_FOR;
+        for host in hosts.iter().cycle() {
+            let until = Instant::now() + RELEASE_WAIT;
+            if until > give_up {
+                break;
+            }
+            let Ok(connection) = self.pool.acquire(host, until).await else {
+                // Refused at once, perhaps by all: the next try waits a little.
+                tokio::time::sleep(Duration::from_millis(5)).await;
+                continue;
+            };
+            let Some(request) = call(Method::DELETE, &format!("/bootstrap/rooms/{request_id}")) else {
+                return;
+            };
+            if self.call(connection, request, until).await.is_ok() {
+                return;
+            }
+        }
+        tracing::warn!(request = request_id, "nobody could be told to let go");
+    }
+}
--- a/router/src/upstream/model.rs
+++ b/router/src/upstream/model.rs
@@ -9,8 +9,9 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use tokio::time::Instant;
 
+use super::calls::call;
 use super::pool::{ConnectionPool, PooledConnection, REST};
-use super::{call, Options, Upstream};
+use super::{Options, Upstream};
 use crate::core::{AttemptId, AttemptSpec, CoreEvent, Ended, Handle, Host, Outbound};
 use cranetack::{Outcome, RequestId};
 use cranetack_facts::Report;
