--- a/router/tests/races.rs
+++ b/router/tests/races.rs
@@ -37,6 +37,14 @@
     )
 }
 
+/// A client that has asked, and the attempt for it at the server.
+async fn ask(bed: &Bed, server: &ManualServer, id: &str) -> (ManualConnection, ManualConnection) {
+    let mut client = ManualConnection::connect(bed.platform).await;
+    client.send(&request(id, "order", "", "{}")).await;
+    let (attempt, _) = server.accept_request().await;
+    (client, attempt)
+}
+
 /// Guards against a repeat that runs twice: servers discard repeats by a header that the router does not know.
 #[test]
 fn a_servers_own_headers_reach_it_on_both_fronts() {
@@ -66,9 +74,7 @@
             let mut settings = plain_settings();
             settings["domain"]["resume"] = resume.into();
             let bed = Bed::start_set(vec![server.line("mixed", "up")], None, settings).await;
-            let mut client = ManualConnection::connect(bed.platform).await;
-            client.send(&request("b1", "order", "", "{}")).await;
-            let (mut attempt, _) = server.accept_request().await;
+            let (mut client, mut attempt) = ask(&bed, &server, "b1").await;
             attempt.send(&format!("{STREAM_HEAD}{}", chunk(EVENT))).await;
             client.until(EVENT).await;
             tokio::time::sleep(Duration::from_millis(3_500)).await;
@@ -92,9 +98,7 @@
 fn an_answer_arrives_whole_though_its_client_has_sent_more_than_is_read() {
     run(async {
         let (server, bed) = with_mixed_server().await;
-        let mut client = ManualConnection::connect(bed.platform).await;
-        client.send(&request("c1", "order", "", "{}")).await;
-        let (mut attempt, _) = server.accept_request().await;
+        let (mut client, mut attempt) = ask(&bed, &server, "c1").await;
         let mut sender = client.sender();
         let flood = spawn_local(async move {
             sender.send_until_closed(&"x".repeat(FLOOD)).await;
@@ -117,9 +121,7 @@
 fn a_request_sent_after_the_last_event_and_before_the_end_is_answered() {
     run(async {
         let (server, bed) = with_mixed_server().await;
-        let mut client = ManualConnection::connect(bed.platform).await;
-        client.send(&request("c2", "order", "", "{}")).await;
-        let (mut attempt, _) = server.accept_request().await;
+        let (mut client, mut attempt) = ask(&bed, &server, "c2").await;
         attempt.send(&format!("{STREAM_HEAD}{}", chunk(DONE))).await;
         client.until(DONE).await;
         client.send(&request("c3", "order", "", &"x".repeat(200_000))).await;
@@ -141,9 +143,7 @@
 fn a_client_that_sends_much_and_goes_has_its_attempt_called_off() {
     run(async {
         let (server, bed) = with_mixed_server().await;
-        let mut client = ManualConnection::connect(bed.platform).await;
-        client.send(&request("d1", "order", "", "{}")).await;
-        let (mut attempt, _) = server.accept_request().await;
+        let (mut client, mut attempt) = ask(&bed, &server, "d1").await;
         client.sender().send_until_closed(&"x".repeat(FLOOD)).await;
         drop(client);
         timeout(Duration::from_secs(2), attempt.end()).await.expect("its deadline is three seconds later");
@@ -216,9 +216,7 @@
         const PARTS: usize = 6;
         let part = "x".repeat(3 << 20);
         let (server, bed) = with_mixed_server().await;
-        let mut client = ManualConnection::connect(bed.platform).await;
-        client.send(&request("h1", "order", "", "{}")).await;
-        let (mut attempt, _) = server.accept_request().await;
+        let (mut client, mut attempt) = ask(&bed, &server, "h1").await;
         let mut sender = attempt.sender();
         let answer = format!("{STREAM_HEAD}{}{}{LAST_CHUNK}", chunk(EVENT), chunk(&part).repeat(PARTS));
         let sending = spawn_local(async move {
@@ -239,9 +237,7 @@
     for end in ["\n\n", "\r\n\r\n", "\r\r"] {
         run(async {
             let (server, bed) = with_mixed_server().await;
-            let mut client = ManualConnection::connect(bed.platform).await;
-            client.send(&request("i1", "order", "", "{}")).await;
-            let (mut attempt, _) = server.accept_request().await;
+            let (mut client, mut attempt) = ask(&bed, &server, "i1").await;
             let event = format!("data: first{end}");
             attempt.send(&format!("{STREAM_HEAD}{}", chunk(&event))).await;
             client.until(&event).await;
