Close evicted clients without a half-close first

Cause, as far as known: only what makes room differs: evicted clients were half-closed, drained and closed in one step. Change: where no permit is left, what has been received is thrown away and the connection closed, as it was before; the half-close and the wait stay where there is room.

--- a/router/src/front/client_stream.rs
+++ b/router/src/front/client_stream.rs
@@ -136,6 +136,15 @@
     while poll_fn(|cx| poll_discard(stream, cx)).await.is_ok_and(|length| length > 0) {}
 }
 
+/// Throws away what has been received, without waiting for more.
+pub(super) async fn discard_received(stream: &RefCell<TcpStream>) {
+    poll_fn(|cx| {
+        while matches!(poll_discard(stream, cx), Poll::Ready(Ok(length)) if length > 0) {}
+        Poll::Ready(())
+    })
+    .await;
+}
+
 fn poll_discard(stream: &RefCell<TcpStream>, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
     let mut piece = [0; PIECE];
     let mut read = ReadBuf::new(&mut piece);
--- a/router/src/front/connections.rs
+++ b/router/src/front/connections.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{timeout, Instant};
 
-use super::client_stream::{shut_down_and_drain, ReadAhead, TrackedStream};
+use super::client_stream::{discard_received, shut_down_and_drain, ReadAhead, TrackedStream};
 use crate::framing::Framing;
 
 /// How long a client may take over the head of a request, from the connection's start or its first byte.
@@ -216,15 +216,16 @@
         (TrackedStream::new(stream, self.state.clone()), read_ahead)
     }
 
-    /// Ends the connection: closes the router's side and reads what the client still sends, until that closes its own
-    /// side, its time is up, or the permit is needed. Guards against a close over unread bytes, by which the system
-    /// resets the connection: the client would lose what it has not read yet.
+    /// Ends the connection, after reading what the client has sent. Guards against a close over unread bytes, by which
+    /// the system resets the connection: the client would lose what it has not read yet. While there are permits, the
+    /// router's side is closed first, and what comes is read until the client closes its own.
     pub async fn close_gracefully(&self, stream: Rc<RefCell<TcpStream>>) {
-        let patience =
-            if self.limiter.permits.available_permits() > 0 { LINGER_TIMEOUT } else { Duration::ZERO };
+        if self.limiter.permits.available_permits() == 0 {
+            return discard_received(&stream).await;
+        }
         tokio::select! {
             biased;
-            _ = timeout(patience, shut_down_and_drain(&stream)) => {}
+            _ = timeout(LINGER_TIMEOUT, shut_down_and_drain(&stream)) => {}
             () = self.close_requested() => {}
         }
     }
