--- a/router/src/upstream/pool.rs
+++ b/router/src/upstream/pool.rs
@@ -92,10 +92,8 @@
         read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
     }
 
-    /// Gives an attempt up: closes the connection and waits until it is closed, so that what is sent next is no second
-    /// copy. What the system has not sent yet is dropped: it would arrive beside the next attempt.
+    /// Closes the connection and waits until it is closed, so that what is sent next is no second copy.
     pub async fn close(mut self) {
-        let _ = self.stream.borrow().set_zero_linger();
         self.driver.abort();
         let _ = (&mut self.driver).await;
     }
