--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import os
+import re
 import shutil
 import signal
 import socket
@@ -14,7 +15,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 import traceback
 from pathlib import Path
 
@@ -41,6 +41,15 @@
         self.file.flush()
 
 
+def run_command():
+    """The `run` command of the deploy file."""
+    deploy_file = (ROOT / "deploy/balancer.toml").read_text()
+    found = re.search(r'^run\s*=\s*"([^"]*)"', deploy_file, re.MULTILINE)
+    if found is None:
+        raise CannotRun("deploy/balancer.toml has no run command")
+    return found.group(1)
+
+
 def free_port():
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
@@ -268,7 +277,7 @@
 
     def start(self):
         self.config_path.write_text(json.dumps(self.config))
-        command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+        command = run_command()
         if not (ROOT / "target/release/cranetack").exists():
             raise CannotRun("target/release/cranetack is missing: run the build of the deploy file")
         environment = {
