Reject requests whose body is still arriving at the end of the accept window

Cause: only connections and heads were checked against the end of the accept window (`serve_http`, `accept_until_finishing`). Once a head had arrived, `RequestBody::read_to_end` waited for the body for up to 2.5 s and the request was submitted, whatever the phase. Ruled out: SIGHUP and drains make no difference, and a late head was not accepted in any of them.

Change: `shutdown::receive_in_accept_window` alone decides whether a request that is still arriving is accepted. It ends with the phase, and checks the clock once more after the last byte, as the tasks of a router that was held up run in any order. Both APIs answer 503 with Connection: close at the end of the window, so that the client can go elsewhere at once, and the rest of the body is read and discarded, now also after 100 Continue.

--- a/crates/router/src/frontend/body.rs
+++ b/crates/router/src/frontend/body.rs
@@ -10,9 +10,11 @@
 use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::sync::watch;
 use tokio::time::{timeout, timeout_at, Instant};
 
 use super::byte_budget::{ByteBudget, ByteReservation};
+use crate::shutdown::{self, Phase};
 
 /// Number of compressed bytes that are decompressed before the byte reservation is extended. The
 /// output is reserved only after it has been produced, and gzip can expand a byte to a thousand.
@@ -40,6 +42,9 @@
     /// The byte budget has too few free bytes for the body.
     #[error("there is no room for the body now; trying again is harmless")]
     BudgetExhausted,
+    /// The router is shutting down, and the accept window ended before the body had arrived.
+    #[error("the router is shutting down; trying again is harmless")]
+    ShuttingDown,
     /// The content coding is not supported.
     #[error("Content-Encoding must be gzip or identity")]
     UnsupportedEncoding,
@@ -55,7 +60,7 @@
             BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             BodyError::Unreadable | BodyError::AmbiguousLength => StatusCode::BAD_REQUEST,
             BodyError::TimedOut => StatusCode::REQUEST_TIMEOUT,
-            BodyError::BudgetExhausted => StatusCode::SERVICE_UNAVAILABLE,
+            BodyError::BudgetExhausted | BodyError::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
             BodyError::UnsupportedEncoding | BodyError::UnsupportedMediaType => {
                 StatusCode::UNSUPPORTED_MEDIA_TYPE
             }
@@ -73,6 +78,8 @@
 /// The body of a request that has not been read yet.
 pub struct RequestBody {
     pub(super) body: Incoming,
+    /// The phase of the router's shutdown.
+    pub(super) phase: watch::Receiver<Phase>,
     /// When the whole body must have arrived.
     pub(super) deadline: Instant,
     /// Whether the request has both `Content-Length` and `Transfer-Encoding`.
@@ -88,6 +95,8 @@
     /// Nothing is read, and no `100 Continue` is sent, before the declared length is reserved. If
     /// `headers` are given, a body that they declare as anything but JSON is rejected, and their
     /// content coding is decoded; without `headers`, the bytes are returned as they arrived.
+    ///
+    /// A body that is incomplete at the end of the accept window of a shutdown is rejected.
     pub async fn read_to_end(
         self,
         headers: Option<&HeaderMap>,
@@ -99,23 +108,27 @@
         }
         let declared_length = usize::try_from(self.body.size_hint().lower()).unwrap_or(usize::MAX);
         let mut body = self.body;
+        // A client that still waits for `100 Continue` sends no body. Reading sends it.
+        let mut is_arriving = !self.expects_continue;
         let result = match check_headers_and_reserve(headers, declared_length, size_limit, budget) {
             Ok((coding, reservation)) => {
                 let buffer = BodyBuffer {
                     size_limit,
                     reservation,
                 };
-                timeout_at(
+                is_arriving = true;
+                let reading = timeout_at(
                     self.deadline,
                     buffer.read(&mut body, coding, declared_length),
-                )
-                .await
-                .unwrap_or(Err(BodyError::TimedOut))
+                );
+                match shutdown::receive_in_accept_window(self.phase, reading).await {
+                    Some(read) => read.unwrap_or(Err(BodyError::TimedOut)),
+                    None => Err(BodyError::ShuttingDown),
+                }
             }
             Err(error) => Err(error),
         };
-        // A client that still waits for `100 Continue` has sent no body.
-        if result.is_err() && !self.expects_continue {
+        if result.is_err() && is_arriving {
             tokio::task::spawn_local(drain(body));
         }
         result
--- a/crates/router/src/frontend/inference/batches.rs
+++ b/crates/router/src/frontend/inference/batches.rs
@@ -21,7 +21,6 @@
 use crate::exchange::{BodyStream, FinalResponse};
 use crate::frontend::byte_budget::ByteReservation;
 use crate::frontend::ResponseBody;
-use crate::shutdown::Phase;
 
 /// A batch request that is being served.
 struct BatchInProgress<'a> {
@@ -168,9 +167,7 @@
     /// wait for memory: it is rejected, so that its client retries at another router.
     fn failure_during_shutdown(&self, failure: SliceFailure) -> SliceFailure {
         match failure {
-            SliceFailure::OutOfMemory { retry_after }
-                if *self.phase.borrow() >= Phase::Draining =>
-            {
+            SliceFailure::OutOfMemory { retry_after } if self.phase.borrow().is_shutting_down() => {
                 SliceFailure::Rejected { retry_after }
             }
             failure => failure,
--- a/crates/router/src/frontend/inference/error.rs
+++ b/crates/router/src/frontend/inference/error.rs
@@ -9,8 +9,8 @@
 
 use crate::frontend::{BodyError, ResponseBody};
 
-/// Delay after which a retry is worthwhile if the byte budget is used up, or if the directory of
-/// tenants has not been read yet.
+/// Delay after which a retry is worthwhile if the byte budget is used up, the router is shutting
+/// down, or the directory of tenants has not been read yet.
 pub(super) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// The `code` of the error for requests that arrive before the directory of tenants has been read.
 const TENANTS_UNKNOWN: &str = "tenants_unknown";
@@ -51,7 +51,9 @@
     pub(super) fn retry_after(&self) -> Option<Duration> {
         match self {
             RequestError::Rejected { retry_after } => Some(*retry_after),
-            RequestError::Body(BodyError::BudgetExhausted) => Some(DEFAULT_RETRY_AFTER),
+            RequestError::Body(BodyError::BudgetExhausted | BodyError::ShuttingDown) => {
+                Some(DEFAULT_RETRY_AFTER)
+            }
             RequestError::Api(error) if error.code == TENANTS_UNKNOWN => Some(DEFAULT_RETRY_AFTER),
             _ => None,
         }
@@ -114,7 +116,9 @@
 
 fn body_error(error: BodyError) -> ApiError {
     match error {
-        BodyError::BudgetExhausted => ApiError::server(503, "overloaded", error.to_string()),
+        BodyError::BudgetExhausted | BodyError::ShuttingDown => {
+            ApiError::server(503, "overloaded", error.to_string())
+        }
         error => ApiError::invalid_request(
             error.status().as_u16(),
             "invalid_body",
--- a/crates/router/src/frontend/readiness.rs
+++ b/crates/router/src/frontend/readiness.rs
@@ -24,6 +24,6 @@
 
     /// Returns whether the router is ready now.
     pub fn is_ready(&self) -> bool {
-        *self.discovery_done.borrow() && *self.phase.borrow() == Phase::Serving
+        *self.discovery_done.borrow() && !self.phase.borrow().is_shutting_down()
     }
 }
--- a/crates/router/src/frontend/server.rs
+++ b/crates/router/src/frontend/server.rs
@@ -26,7 +26,7 @@
 use super::connections::{ClientConnection, ConnectionLimiter, RequestTracker};
 use super::response_body::GuardedBody;
 use super::Frontend;
-use crate::shutdown::Phase;
+use crate::shutdown::{self, Phase};
 use crate::socket::Socket;
 
 /// Interval between two checks for connections that have exceeded a timeout.
@@ -54,13 +54,13 @@
     listener: TcpListener,
     frontend: F,
     limiter: &Rc<ConnectionLimiter>,
-    mut phase: watch::Receiver<Phase>,
+    phase: watch::Receiver<Phase>,
 ) {
     let mut connections = JoinSet::new();
     loop {
         let (stream, connection) = tokio::select! {
             biased;
-            _ = phase.wait_for(|p| *p >= Phase::Finishing) => break,
+            () = shutdown::accept_window_ended(phase.clone()) => break,
             accepted = accept(&listener, limiter) => accepted,
         };
         while connections.try_join_next().is_some() {}
@@ -165,7 +165,7 @@
     stream: TrackedStream,
     connection: &ClientConnection,
     service: ConnectionService<F>,
-    mut phase: watch::Receiver<Phase>,
+    phase: watch::Receiver<Phase>,
 ) -> hyper::Result<()> {
     // hyper's own timeout is disabled: the connection limiter enforces the timeouts of clients.
     let serving = http1::Builder::new()
@@ -176,10 +176,11 @@
     tokio::select! {
         biased;
         result = &mut serving => return result,
-        _ = phase.wait_for(|p| *p >= Phase::Finishing) => {}
+        () = shutdown::accept_window_ended(phase) => {}
     }
-    // A request whose head is still incomplete might be complete too late to be answered before the
-    // router stops. The connection is closed, and the client sends the request to another router.
+    // A request whose head is still incomplete is not accepted. The connection is closed, and the
+    // client sends the request to another router. A request whose body is still incomplete is
+    // rejected by `RequestBody::read_to_end`.
     if connection.is_receiving() {
         return Ok(());
     }
@@ -201,6 +202,7 @@
         let expects_continue = request.headers().contains_key(EXPECT);
         let request = request.map(|body| RequestBody {
             body,
+            phase: self.phase.clone(),
             deadline: guard.body_deadline(),
             has_ambiguous_length: self.request_tracker.has_ambiguous_length(),
             expects_continue,
@@ -208,7 +210,7 @@
         let mut response = self.frontend.respond(request).await;
         // `Connection: close` makes the client send its next request on another connection, and
         // this one need not be closed later.
-        if *self.phase.borrow() >= Phase::Draining || self.request_tracker.is_last_request() {
+        if self.phase.borrow().is_shutting_down() || self.request_tracker.is_last_request() {
             response
                 .headers_mut()
                 .insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/router/src/router/parts.rs
+++ b/crates/router/src/router/parts.rs
@@ -159,7 +159,7 @@
             .iter()
             .filter_map(ClassSettings::deadline);
         let schedule = ShutdownSchedule::for_longest_deadline(deadlines.max().unwrap_or_default());
-        let draining = shutdown::wait_for_phase(self.phase.clone(), Phase::Draining);
+        let draining = shutdown::started(self.phase.clone());
         let handle = self.handle.clone();
         self.tasks.spawn(async move {
             draining.await;
@@ -176,7 +176,7 @@
         tracing::info!(listen = %setup.listen, "serving the control service over xDS");
         let tasks = TaskGroup::default();
         let (publisher, snapshots) = watch::channel(Default::default());
-        let draining = shutdown::wait_for_phase(self.phase.clone(), Phase::Draining);
+        let draining = shutdown::started(self.phase.clone());
         tasks.spawn(control::publish_snapshots(
             self.handle.clone(),
             setup,
--- a/crates/router/src/shutdown.rs
+++ b/crates/router/src/shutdown.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::tasks::TaskGroup;
 
-/// Time for which connections are accepted after the signal. Whoever directs clients to this router
-/// needs that time to notice the shutdown.
+/// Time for which connections and requests are accepted after the signal. Whoever directs clients to
+/// this router needs that time to notice the shutdown.
 pub const ACCEPT_WINDOW: Duration = Duration::from_millis(700);
 /// Longest time to the beginning of a response that the schedule allows for. Whoever ends the
 /// program does not wait for a response that may take longer to begin.
@@ -25,13 +26,34 @@
 pub enum Phase {
     /// No shutdown has started.
     Serving,
-    /// The signal has arrived. Connections are still accepted, and each response asks the client to
-    /// close the connection.
-    Draining,
-    /// No connections are accepted any more, and accepted requests are finished.
+    /// The signal has arrived. Connections and requests are still accepted, and each response asks
+    /// the client to close the connection.
+    Draining {
+        /// The end of the accept window.
+        accept_until: Instant,
+    },
+    /// No connections or requests are accepted any more, and accepted requests are finished.
     Finishing,
 }
 
+impl Phase {
+    /// Returns whether the shutdown has started.
+    pub fn is_shutting_down(self) -> bool {
+        self > Phase::Serving
+    }
+
+    /// Returns whether a request is accepted whose last byte the router reads at `now`.
+    fn accepts_requests(self, now: Instant) -> bool {
+        match self {
+            Phase::Serving => true,
+            // The tasks that became ready while the router was held up run in any order, so the
+            // window may have ended although the phase has not changed yet.
+            Phase::Draining { accept_until } => now < accept_until,
+            Phase::Finishing => false,
+        }
+    }
+}
+
 /// The times of a shutdown's steps, counted from the signal.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ShutdownSchedule {
@@ -66,8 +88,9 @@
     tasks.spawn(async move {
         signal.await;
         tracing::info!("shutdown started, finishing accepted requests");
-        sender.send_replace(Phase::Draining);
-        tokio::time::sleep(ACCEPT_WINDOW).await;
+        let accept_until = Instant::now() + ACCEPT_WINDOW;
+        sender.send_replace(Phase::Draining { accept_until });
+        tokio::time::sleep_until(accept_until).await;
         sender.send_replace(Phase::Finishing);
         // The sender is kept until the last receiver is dropped, so that the phase stays
         // observable.
@@ -76,7 +99,28 @@
     receiver
 }
 
-/// Waits until the phase `wanted`, or a later one, has been reached.
-pub async fn wait_for_phase(mut phase: watch::Receiver<Phase>, wanted: Phase) {
-    let _ = phase.wait_for(|current| *current >= wanted).await;
+/// Waits until the shutdown has started.
+pub async fn started(mut phase: watch::Receiver<Phase>) {
+    let _ = phase.wait_for(|current| current.is_shutting_down()).await;
+}
+
+/// Waits until the accept window of the shutdown has ended.
+pub async fn accept_window_ended(mut phase: watch::Receiver<Phase>) {
+    let _ = phase.wait_for(|current| *current == Phase::Finishing).await;
+}
+
+/// Receives the rest of a request. Returns `None` if the accept window of the shutdown ends before
+/// the request is complete: it must not be accepted then, as its response might take longer than
+/// whoever ends the program waits.
+pub async fn receive_in_accept_window<T>(
+    phase: watch::Receiver<Phase>,
+    receiving: impl Future<Output = T>,
+) -> Option<T> {
+    let received = tokio::select! {
+        biased;
+        () = accept_window_ended(phase.clone()) => return None,
+        received = receiving => received,
+    };
+    let is_accepted = phase.borrow().accepts_requests(Instant::now());
+    is_accepted.then_some(received)
 }
--- /dev/null
+++ b/crates/router/tests/shutdown.rs
@@ -0,0 +1,120 @@
+//! Requests and streams that cross the phases of a graceful shutdown.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use common::{
+    endpoint_entry, run_test_with_paused_clock, test_settings, Behaviour, ConnectionEnd,
+    FakeServer, ManualConnection, TestRouter, LAST_CHUNK,
+};
+use cranetack_router::shutdown::ACCEPT_WINDOW;
+use tokio::time::sleep;
+
+const CHAT_PATH: &str = "/v1/chat/completions";
+/// A body that is valid on both APIs.
+const CHAT_BODY: &str = r#"{"model":"m","stream":true,"messages":[{"role":"user","content":"x"}]}"#;
+/// Time between the end of the accept window and an event shortly before or after it.
+const MARGIN: Duration = Duration::from_millis(300);
+
+/// The two APIs of a router.
+#[derive(Debug, Clone, Copy)]
+enum Api {
+    Platform,
+    Inference,
+}
+
+impl Api {
+    fn address(self, router: &TestRouter) -> SocketAddr {
+        match self {
+            Api::Platform => router.platform,
+            Api::Inference => router.inference,
+        }
+    }
+}
+
+/// Starts a server and a router, with or without streams that clients of the platform API can
+/// resume.
+async fn start_router(behaviour: Behaviour, resume: bool) -> (Rc<FakeServer>, TestRouter) {
+    let server = FakeServer::start(8, behaviour).await;
+    let mut settings = test_settings();
+    settings["domain"]["resume"] = resume.into();
+    let entries = vec![endpoint_entry(&server, "mixed", "up")];
+    let router = TestRouter::start_with_settings(entries, settings).await;
+    (server, router)
+}
+
+/// Returns a chat request. `headers` are further header lines, each with its line end.
+fn chat_request(id: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {CHAT_PATH} HTTP/1.1\r\nhost: app\r\nx-request-id: {id}\r\nx-class: order\r\n\
+         x-deadline-ms: 5000\r\n{headers}content-length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// Sends the head and half of the body of a chat request, starts the shutdown, and sends the rest of
+/// the body after `delay`. Returns what the client received, and how its connection ended. The rest
+/// of the body is sent in any case, as a client does that reads only afterwards.
+async fn send_across_shutdown(
+    router: &mut TestRouter,
+    api: Api,
+    headers: &str,
+    delay: Duration,
+) -> (String, ConnectionEnd) {
+    let request = chat_request("s1", headers, CHAT_BODY);
+    let (begin, rest) = request.split_at(request.len() - CHAT_BODY.len() / 2);
+    let mut client = ManualConnection::connect(api.address(router)).await;
+    client.send(begin).await;
+    router.shutdown_sender.take().unwrap().send(()).unwrap();
+    sleep(delay).await;
+    let mut sender = client.sender();
+    sender.send_until_closed(rest).await;
+    client.read_to_end().await
+}
+
+/// Guards against a lost request: a request whose last byte came after the accept window was sent to
+/// an endpoint, and the end of the program broke off its response.
+#[test]
+fn a_request_whose_body_ends_after_the_accept_window_is_rejected_and_not_executed() {
+    for api in [Api::Platform, Api::Inference] {
+        for resume in [false, true] {
+            for headers in ["", "expect: 100-continue\r\n"] {
+                run_test_with_paused_clock(async {
+                    let (server, mut router) = start_router(Behaviour::Answer, resume).await;
+                    let (received, end) =
+                        send_across_shutdown(&mut router, api, headers, ACCEPT_WINDOW + MARGIN)
+                            .await;
+                    let case = format!("{api:?}, resume: {resume}, {headers:?}: {received:?}");
+                    let response = received.trim_start_matches("HTTP/1.1 100 Continue\r\n\r\n");
+                    assert!(response.starts_with("HTTP/1.1 503 "), "{case}");
+                    assert!(response.contains("connection: close\r\n"), "{case}");
+                    assert_eq!(end, ConnectionEnd::Closed, "{case}");
+                    assert_eq!(server.count_started(CHAT_PATH), 0, "{case}");
+                    router.stopped.await.unwrap();
+                });
+            }
+        }
+    }
+}
+
+/// Clients may keep using their connections until the accept window ends, also slowly.
+#[test]
+fn a_request_whose_body_ends_within_the_accept_window_is_served() {
+    for api in [Api::Platform, Api::Inference] {
+        for resume in [false, true] {
+            run_test_with_paused_clock(async {
+                let (server, mut router) = start_router(Behaviour::Answer, resume).await;
+                let (received, _) =
+                    send_across_shutdown(&mut router, api, "", ACCEPT_WINDOW - MARGIN).await;
+                let case = format!("{api:?}, resume: {resume}: {received:?}");
+                assert!(received.starts_with("HTTP/1.1 200 "), "{case}");
+                assert!(received.ends_with(LAST_CHUNK), "{case}");
+                assert_eq!(server.count_started(CHAT_PATH), 1, "{case}");
+                router.stopped.await.unwrap();
+            });
+        }
+    }
+}
