Close only idle connections at the end of the accept window

Callers saw: two effects of one cause. A client that was still sending the body of a rejected request had its connection reset, so that its next write failed (EPIPE) and it might not read the response. A client that sent its next request behind the last event of a stream, before the end of the response, got no response: the router had read the request and closed the connection.

Cause: at the end of the accept window `serve_http` closed every connection that was "receiving", which included those that received the rest of a rejected body, and asked hyper for a graceful shutdown on all others at once. hyper then closes a connection whose response is complete although its request body is not, and takes no further request after the current one, not even one that has been read.

Change: after the window `serve_http` looks at the connection after each step. A connection that waits for a head is closed unless a request has arrived unread; hyper is asked to close a connection only when it is idle. Whatever is still read is decided by `RequestBody::read_to_end`, which rejects it.

Evidence: `a_rejected_body_may_be_sent_to_its_end_after_the_accept_window` failed before with "Broken pipe", `a_request_that_was_read_behind_a_stream_is_rejected_after_the_accept_window` with an empty response; both pass now. The tests of client connections, races, the connection model and the inference API pass.

--- a/crates/router/src/framing.rs
+++ b/crates/router/src/framing.rs
@@ -168,9 +168,14 @@
         self.position == Position::Head && self.head.status.is_none() && self.line.is_empty()
     }
 
+    /// Returns whether the next byte belongs to a head.
+    pub(crate) fn expects_head(&self) -> bool {
+        self.position == Position::Head
+    }
+
     /// Returns whether a part of a head, but not all of it, has arrived.
     pub(crate) fn is_in_head(&self) -> bool {
-        self.position == Position::Head && !self.is_between_messages()
+        self.expects_head() && !self.is_between_messages()
     }
 
     /// Returns whether a part of a response's chunk, or of the line with its size, has arrived, but
--- a/crates/router/src/frontend/connections.rs
+++ b/crates/router/src/frontend/connections.rs
@@ -148,11 +148,19 @@
 
     /// Returns whether the connection waits for a first request or the rest of a request head, and
     /// all earlier responses have been written.
-    pub(crate) fn is_receiving(&self) -> bool {
+    pub(crate) fn is_receiving_head(&self) -> bool {
         matches!(self.state.activity.get(), Activity::Receiving(_))
+            && self.state.framing.borrow().expects_head()
             && self.state.blocked_since.get().is_none()
     }
 
+    /// Returns whether all requests on the connection have been answered, and nothing of a further
+    /// one has been read.
+    pub(crate) fn is_idle(&self) -> bool {
+        matches!(self.state.activity.get(), Activity::Idle(_))
+            && self.state.read_ahead.borrow().is_empty()
+    }
+
     /// Returns whether bytes of a new request have arrived and none of them has been read yet.
     pub(crate) fn has_unread_request(&self, stream: &RefCell<Socket>) -> bool {
         let between_requests = self.state.framing.borrow().is_between_messages()
--- a/crates/router/src/frontend/server.rs
+++ b/crates/router/src/frontend/server.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{poll_fn, Future};
 use std::io::ErrorKind;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -133,7 +133,7 @@
     phase: watch::Receiver<Phase>,
 ) {
     let (tracked, read_ahead) = connection.track(stream.clone());
-    let serving = serve_http(tracked, connection, service, phase);
+    let serving = serve_http(tracked, &stream, connection, service, phase);
     tokio::pin!(serving);
     let result = loop {
         tokio::select! {
@@ -159,10 +159,11 @@
     tracing::debug!("client disconnected before its response was complete");
 }
 
-/// Serves HTTP on a connection until it ends. A graceful shutdown ends it after the current
-/// request.
+/// Serves HTTP on a connection until it ends. After the accept window of a graceful shutdown, the
+/// connection is closed as soon as no request is being answered and none has arrived unread.
 async fn serve_http<F: Frontend>(
     stream: TrackedStream,
+    socket: &RefCell<Socket>,
     connection: &ClientConnection,
     service: ConnectionService<F>,
     phase: watch::Receiver<Phase>,
@@ -178,14 +179,30 @@
         result = &mut serving => return result,
         () = shutdown::accept_window_ended(phase) => {}
     }
-    // A request whose head is still incomplete is not accepted. The connection is closed, and the
-    // client sends the request to another router. A request whose body is still incomplete is
-    // rejected by `RequestBody::read_to_end`.
-    if connection.is_receiving() {
-        return Ok(());
-    }
-    serving.as_mut().graceful_shutdown();
-    serving.await
+    let mut is_closing = false;
+    poll_fn(|cx| loop {
+        if let Poll::Ready(result) = serving.as_mut().poll(cx) {
+            return Poll::Ready(result);
+        }
+        // A request that has arrived but was read too late, or whose body is still incomplete, is
+        // rejected by `RequestBody::read_to_end`.
+        if is_closing || connection.has_unread_request(socket) {
+            return Poll::Pending;
+        }
+        // A request whose head is still incomplete is not accepted. The connection is closed, and
+        // the client sends the request to another router.
+        if connection.is_receiving_head() {
+            return Poll::Ready(Ok(()));
+        }
+        // hyper would close a connection at once on which the body of a rejected request is still
+        // arriving, so it is asked to close idle connections only.
+        if !connection.is_idle() {
+            return Poll::Pending;
+        }
+        is_closing = true;
+        serving.as_mut().graceful_shutdown();
+    })
+    .await
 }
 
 /// A tower service that serves a frontend on one connection.
--- a/crates/router/tests/shutdown.rs
+++ b/crates/router/tests/shutdown.rs
@@ -7,8 +7,9 @@
 use std::time::Duration;
 
 use common::{
-    endpoint_entry, run_test_with_paused_clock, test_settings, Behaviour, ConnectionEnd,
-    FakeServer, ManualConnection, TestRouter, LAST_CHUNK,
+    encode_chunk, endpoint_entry, run_test_with_paused_clock, test_settings, Behaviour,
+    ConnectionEnd, FakeServer, ManualConnection, ManualServer, TestRouter, CHAT_EVENT, DONE_EVENT,
+    LAST_CHUNK, STREAM_HEAD,
 };
 use cranetack_router::shutdown::ACCEPT_WINDOW;
 use tokio::time::sleep;
@@ -118,3 +119,62 @@
         }
     }
 }
+
+/// Guards against a reset within a body that a client still sends: the connection of a rejected
+/// request was closed at the end of the accept window, and a client whose write fails may not read
+/// the response.
+#[test]
+fn a_rejected_body_may_be_sent_to_its_end_after_the_accept_window() {
+    const BODY_LIMIT: usize = 256 * 1024;
+    for (length, status) in [(BODY_LIMIT, "503"), (BODY_LIMIT + 1, "413")] {
+        run_test_with_paused_clock(async {
+            let (_server, mut router) = start_router(Behaviour::Answer, false).await;
+            let request = chat_request("s3", "", &"x".repeat(length));
+            let (begin, rest) = request.split_at(request.len() - length);
+            let mut client = ManualConnection::connect(router.platform).await;
+            client.send(begin).await;
+            router.shutdown_sender.take().unwrap().send(()).unwrap();
+            client.read_until(&format!("HTTP/1.1 {status} ")).await;
+            sleep(ACCEPT_WINDOW + MARGIN).await;
+            // The first write after a close succeeds and causes a reset, which fails the second one.
+            let (first_half, second_half) = rest.split_at(length / 2);
+            client.send(first_half).await;
+            sleep(MARGIN / 3).await;
+            client.send(second_half).await;
+            let (_, end) = client.read_to_end().await;
+            assert_eq!(end, ConnectionEnd::Closed);
+            router.stopped.await.unwrap();
+        });
+    }
+}
+
+/// Guards against a request that is read and then gets no response: its client sent it after the
+/// last event of a stream and before the end of the response, and the router closed the connection.
+#[test]
+fn a_request_that_was_read_behind_a_stream_is_rejected_after_the_accept_window() {
+    run_test_with_paused_clock(async {
+        let server = ManualServer::start().await;
+        let mut settings = test_settings();
+        settings["domain"]["ahead"] = false.into();
+        let entries = vec![server.endpoint_entry("mixed", "up")];
+        let mut router = TestRouter::start_with_settings(entries, settings).await;
+        let mut client = ManualConnection::connect(router.platform).await;
+        client.send(&chat_request("s4", "", CHAT_BODY)).await;
+        let (mut attempt, _) = server.accept_request().await;
+        let begin = format!("{STREAM_HEAD}{}", encode_chunk(CHAT_EVENT));
+        attempt.send(&begin).await;
+        client.read_until(CHAT_EVENT).await;
+        router.shutdown_sender.take().unwrap().send(()).unwrap();
+        sleep(ACCEPT_WINDOW + MARGIN).await;
+        attempt.send(&encode_chunk(DONE_EVENT)).await;
+        client.read_until(DONE_EVENT).await;
+        client.send(&chat_request("s5", "", CHAT_BODY)).await;
+        sleep(MARGIN).await;
+        attempt.send(LAST_CHUNK).await;
+        client.read_until(LAST_CHUNK).await;
+        let (received, end) = client.read_to_end().await;
+        assert!(received.starts_with("HTTP/1.1 503 "), "{received:?}");
+        assert_eq!(end, ConnectionEnd::Closed);
+        router.stopped.await.unwrap();
+    });
+}
