Reject requests in the accept queue at the end of the accept window

Callers saw: a request on a connection that the operating system had accepted, but for which the router had no permit, got no response: its connection was reset 0.7 s after SIGTERM. New connections arrive for 0.2 to 0.4 s after the signal, so this needs a router whose connections are all in use.

Cause: `accept_until_finishing` closed the listener as soon as the window had ended, and with it all connections in the queue.

--- a/crates/router/src/frontend/server.rs
+++ b/crates/router/src/frontend/server.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::convert::Infallible;
-use std::future::{poll_fn, Future};
+use std::future::{poll_fn, ready, Future};
 use std::io::ErrorKind;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -18,6 +18,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::timeout;
 use tower::Service;
 
 use super::body::RequestBody;
@@ -34,6 +35,11 @@
 /// Delay before the next attempt to accept a connection after a failure, such as a temporary lack
 /// of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Maximum number of connections without a permit that are served at once after the accept window.
+/// Each uses one of the file descriptors that are reserved for other purposes.
+const MAX_CONNECTIONS_WITHOUT_PERMIT: usize = 4;
+/// Maximum time for which connections are taken from the accept queue after the accept window.
+const ACCEPT_QUEUE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Accepts connections until `phase` is [`Phase::Finishing`], and returns when all requests that
 /// arrived on them have been answered.
@@ -64,17 +70,56 @@
             accepted = accept(&listener, limiter) => accepted,
         };
         while connections.try_join_next().is_some() {}
-        let service = ConnectionService {
-            frontend: frontend.clone(),
-            phase: phase.clone(),
-            request_tracker: connection.request_tracker(),
-        };
-        connections.spawn_local(serve_connection(stream, connection, service, phase.clone()));
+        connections.spawn_local(serve_connection(
+            stream,
+            connection,
+            frontend.clone(),
+            phase.clone(),
+        ));
     }
+    reject_queued(listener, frontend, limiter, phase).await;
+    while connections.join_next().await.is_some() {}
+}
+
+/// Serves the connections that are in the operating system's accept queue at the end of the accept
+/// window, and closes the listener. If the listener were closed before, they would be reset,
+/// although requests may have arrived on them. They have no permits: those of a router whose
+/// connections are all in use become free too late.
+async fn reject_queued<F: Frontend>(
+    listener: TcpListener,
+    frontend: F,
+    limiter: &Rc<ConnectionLimiter>,
+    phase: watch::Receiver<Phase>,
+) {
+    let mut connections = JoinSet::new();
+    let accepting = async {
+        while let Some(stream) = accept_queued(&listener).await {
+            if connections.len() >= MAX_CONNECTIONS_WITHOUT_PERMIT {
+                connections.join_next().await;
+            }
+            connections.spawn_local(serve_connection(
+                stream,
+                limiter.register(None),
+                frontend.clone(),
+                phase.clone(),
+            ));
+        }
+    };
+    // New connections that arrive all the time must not keep the listener open.
+    let _ = timeout(ACCEPT_QUEUE_TIMEOUT, accepting).await;
     drop(listener);
     while connections.join_next().await.is_some() {}
 }
 
+/// Accepts the next connection in the operating system's accept queue, if there is one.
+async fn accept_queued(listener: &TcpListener) -> Option<TcpStream> {
+    tokio::select! {
+        biased;
+        accepted = listener.accept() => accepted.ok().map(|(stream, _)| stream),
+        () = ready(()) => None,
+    }
+}
+
 async fn close_expired_connections(limiter: &ConnectionLimiter) {
     loop {
         tokio::time::sleep(EXPIRY_INTERVAL).await;
@@ -115,9 +160,14 @@
 async fn serve_connection<F: Frontend>(
     stream: TcpStream,
     connection: ClientConnection,
-    service: ConnectionService<F>,
+    frontend: F,
     phase: watch::Receiver<Phase>,
 ) {
+    let service = ConnectionService {
+        frontend,
+        phase: phase.clone(),
+        request_tracker: connection.request_tracker(),
+    };
     let _ = stream.set_nodelay(true);
     let stream = Rc::new(RefCell::new(Socket::from(stream)));
     serve_requests(stream.clone(), &connection, service, phase).await;
--- a/crates/router/tests/shutdown.rs
+++ b/crates/router/tests/shutdown.rs
@@ -8,8 +8,8 @@
 
 use common::{
     encode_chunk, endpoint_entry, run_test_with_paused_clock, test_settings, Behaviour,
-    ConnectionEnd, FakeServer, ManualConnection, ManualServer, TestRouter, CHAT_EVENT, DONE_EVENT,
-    LAST_CHUNK, STREAM_HEAD,
+    ConnectionEnd, FakeServer, ManualConnection, ManualServer, Observation, TestRouter, CHAT_EVENT,
+    DONE_EVENT, LAST_CHUNK, STREAM_HEAD,
 };
 use cranetack_router::shutdown::ACCEPT_WINDOW;
 use tokio::time::sleep;
@@ -178,3 +178,34 @@
         router.stopped.await.unwrap();
     });
 }
+
+/// Guards against a request that is reset without a response: its connection was in the system's
+/// accept queue, as all permits were in use, when the listener was closed.
+#[test]
+fn a_request_in_the_accept_queue_at_the_end_of_the_accept_window_is_rejected() {
+    /// Of 64 descriptors, 32 are reserved. Half of the rest is for clients, and two frontends share
+    /// that half.
+    const CONNECTION_LIMIT: usize = 8;
+    for api in [Api::Platform, Api::Inference] {
+        run_test_with_paused_clock(async {
+            let (server, mut router) = start_router(Behaviour::Hang, false).await;
+            let mut clients = Vec::new();
+            for number in 0..=CONNECTION_LIMIT {
+                let mut client = ManualConnection::connect(api.address(&router)).await;
+                let request = chat_request(&format!("s{number}"), "", CHAT_BODY);
+                client.send(&request).await;
+                clients.push(client);
+            }
+            let started = |seen: &[Observation]| seen.len() >= CONNECTION_LIMIT;
+            server.wait_until(started).await;
+            router.shutdown_sender.take().unwrap().send(()).unwrap();
+            let mut queued = clients.pop().unwrap();
+            let (received, end) = queued.read_to_end().await;
+            assert!(received.starts_with("HTTP/1.1 503 "), "{received:?}");
+            assert_eq!(end, ConnectionEnd::Closed);
+            assert_eq!(server.count_started(CHAT_PATH), CONNECTION_LIMIT);
+            drop(clients);
+            router.stopped.await.unwrap();
+        });
+    }
+}
