Migrate a stream at a shutdown only if its client can resume it

Cause: whether streams are migrated was decided for the whole deployment, by `Parameters::resumable_streams` in `Policy::continue_shutdown`. The request for the rest of a stream (`X-Retry: again`) exists on the platform API only, but a `RequestSpec` did not say which API its client uses.

Change: each frontend states in `IncomingRequest::client_can_resume` whether its API has that request, and `RequestSpec::is_resumable` decides by it and by the setting. Streams that are not resumable do not use up the migrations of a tick. All parts of the inference API submit through `RequestContext::incoming_request`: streamed and unstreamed chats and slices of batches.

Evidence: `responses_of_the_inference_api_are_finished_although_other_streams_are_resumable` failed before with "the answer broke off" as the last event; `streams_whose_clients_cannot_resume_them_are_not_migrated` fails if the new condition is taken out (migrated [9, 2, 1, 0]; the field did not exist before).

--- a/crates/router/src/core/messages.rs
+++ b/crates/router/src/core/messages.rs
@@ -39,6 +39,9 @@
     pub is_retry: bool,
     /// Whether the client resumes a broken stream.
     pub is_resumed: bool,
+    /// Whether the API of the client has a way to request the rest of a broken stream. Clients
+    /// use it where the settings say that streams are resumable.
+    pub client_can_resume: bool,
     /// The kinds of endpoint that may serve the request, one bit per kind; absent for all kinds.
     pub allowed_kinds: Option<u64>,
     /// The request that is forwarded to endpoints.
--- a/crates/router/src/core/requests.rs
+++ b/crates/router/src/core/requests.rs
@@ -87,6 +87,7 @@
             max_tokens: incoming.max_tokens,
             is_retry: incoming.is_retry,
             is_resumed: incoming.is_resumed,
+            client_can_resume: incoming.client_can_resume,
             allowed_kinds: incoming.allowed_kinds,
         }
     }
--- a/crates/router/src/frontend/inference/request.rs
+++ b/crates/router/src/frontend/inference/request.rs
@@ -143,8 +143,9 @@
     }
 
     /// Builds the request that is submitted to the core for one part of this request. Clients
-    /// of this API cannot state a shared prefix or an expected duration. `max_tokens` is 0; a chat
-    /// request sets it afterwards if its client states a maximum.
+    /// of this API cannot state a shared prefix or an expected duration, and they cannot request
+    /// the rest of a broken stream. `max_tokens` is 0; a chat request sets it afterwards if its
+    /// client states a maximum.
     pub(super) fn incoming_request(
         &self,
         request_id: Rc<str>,
@@ -165,6 +166,7 @@
             max_tokens: 0,
             is_retry: false,
             is_resumed: false,
+            client_can_resume: false,
             allowed_kinds: model.allowed_kinds,
             message: Rc::new(message),
         }
--- a/crates/router/src/frontend/platform.rs
+++ b/crates/router/src/frontend/platform.rs
@@ -212,6 +212,7 @@
         max_tokens: extras.max_tokens,
         is_retry: retry.is_some(),
         is_resumed: retry == Some(RETRY_RESUMED),
+        client_can_resume: true,
         allowed_kinds: None,
         message: Rc::new(message),
     })
--- a/crates/router/tests/core/harness.rs
+++ b/crates/router/tests/core/harness.rs
@@ -204,6 +204,7 @@
         max_tokens: 10,
         is_retry: false,
         is_resumed: false,
+        client_can_resume: true,
         allowed_kinds: None,
         message: Rc::default(),
     }
--- a/crates/router/tests/shutdown.rs
+++ b/crates/router/tests/shutdown.rs
@@ -209,3 +209,34 @@
         });
     }
 }
+
+/// Guards against lost responses: where clients of the platform API can resume streams, responses of
+/// the inference API were broken off at a shutdown too, although its clients cannot.
+#[test]
+fn responses_of_the_inference_api_are_finished_although_other_streams_are_resumable() {
+    // With this pause before each event, a stream ends after the time by which all streams that can
+    // be resumed are migrated.
+    const EVENT_INTERVAL: Duration = Duration::from_secs(3);
+    for (stream, end_of_response) in [("true", LAST_CHUNK), ("false", "}")] {
+        run_test_with_paused_clock(async {
+            let (server, mut router) = start_router(Behaviour::Answer, true).await;
+            server.event_interval.set(EVENT_INTERVAL);
+            let body = CHAT_BODY.replace("true", stream);
+            let mut client = ManualConnection::connect(router.inference).await;
+            client.send(&chat_request("s2", "", &body)).await;
+            server
+                .wait_until(|seen| {
+                    seen.contains(&Observation::SlotReleased {
+                        id: "s2".to_owned(),
+                    })
+                })
+                .await;
+            sleep(EVENT_INTERVAL + EVENT_INTERVAL / 2).await;
+            router.shutdown_sender.take().unwrap().send(()).unwrap();
+            let (received, _) = client.read_to_end().await;
+            assert!(received.starts_with("HTTP/1.1 200 "), "{received:?}");
+            assert!(received.ends_with(end_of_response), "{received:?}");
+            router.stopped.await.unwrap();
+        });
+    }
+}
--- a/crates/routing-policy/src/config.rs
+++ b/crates/routing-policy/src/config.rs
@@ -100,7 +100,8 @@
     pub slot_reservations: bool,
     /// Whether a decode endpoint that has no KV state to fetch processes the prompt itself.
     pub decode_can_prefill: bool,
-    /// Whether a broken stream can be resumed from its last token, so that streams may be migrated.
+    /// Whether a broken stream can be resumed from its last token, so that streams may be migrated
+    /// if their clients can request the rest of them.
     pub resumable_streams: bool,
     /// The time within which KV state that an endpoint holds must be fetched or released.
     pub kv_lease_timeout: Option<Micros>,
--- a/crates/routing-policy/src/events.rs
+++ b/crates/routing-policy/src/events.rs
@@ -72,12 +72,21 @@
     pub is_retry: bool,
     /// Whether the client resumes a stream that broke or was migrated.
     pub is_resumed: bool,
+    /// Whether the client has a way to request the rest of a broken stream.
+    pub client_can_resume: bool,
     /// The kinds of endpoint that may serve the request, as a bit mask of the first 64; `None` for
     /// all kinds.
     pub allowed_kinds: Option<u64>,
 }
 
 impl RequestSpec {
+    /// Whether the stream of the request may be broken off, because its client requests the rest of
+    /// it from another router. `resumable_streams` is the setting of
+    /// [`Settings`](crate::Settings::resumable_streams).
+    pub fn is_resumable(&self, resumable_streams: bool) -> bool {
+        resumable_streams && self.client_can_resume
+    }
+
     /// Whether an endpoint of a kind may serve the request.
     pub fn allows(&self, kind: KindId) -> bool {
         self.allowed_kinds
--- a/crates/routing-policy/src/shutdown.rs
+++ b/crates/routing-policy/src/shutdown.rs
@@ -31,11 +31,11 @@
 
 impl Policy {
     /// Advances a shutdown of this router at a tick. If gossip is enabled, notifies peers in the
-    /// first `ANNOUNCEMENT_COUNT` ticks. If streams are resumable, migrates up to
-    /// [`MAX_MIGRATIONS_PER_TICK`] streams in each tick from `migrate_from` on, the newest first,
-    /// unless all peers that notify this router of their shutdown are shutting down too. From
-    /// `respond_by` on, migrates all resumable streams at once and gives all requests without a
-    /// stream their final response.
+    /// first `ANNOUNCEMENT_COUNT` ticks. Migrates up to [`MAX_MIGRATIONS_PER_TICK`] resumable
+    /// streams in each tick from `migrate_from` on, the newest first, unless all peers that notify
+    /// this router of their shutdown are shutting down too. From `respond_by` on, migrates all
+    /// resumable streams at once and gives all requests without a stream their final response.
+    /// Streams that are not resumable go on to their end.
     pub(crate) fn continue_shutdown(&mut self) {
         let Some(shutdown) = self.shutdown.as_mut() else {
             return;
@@ -50,20 +50,19 @@
         }
         let deadline_reached = self.now >= shutdown.respond_by;
         let peers_are_available = self.now >= shutdown.migrate_from && self.has_available_peer();
-        let may_migrate =
-            self.parameters.resumable_streams && (deadline_reached || peers_are_available);
-        let mut migrations_left = match (deadline_reached, may_migrate) {
+        let mut migrations_left = match (deadline_reached, peers_are_available) {
             (true, _) => usize::MAX,
             (false, true) => MAX_MIGRATIONS_PER_TICK,
             (false, false) => 0,
         };
         for id in self.open_requests_newest_first() {
-            let is_streaming = self.requests[&id].state.is_streaming();
-            if is_streaming {
-                if may_migrate && migrations_left > 0 {
+            let request = &self.requests[&id];
+            if request.state.is_streaming() {
+                let resumable_streams = self.parameters.resumable_streams;
+                if request.spec.is_resumable(resumable_streams) && migrations_left > 0 {
+                    migrations_left -= 1;
                     self.actions.push(Action::Migrate(id));
                 }
-                migrations_left = migrations_left.saturating_sub(1);
             } else if deadline_reached {
                 self.cancel_waiting_attempt(id);
                 self.reject_or_fail(id);
--- a/crates/routing-policy/tests/common/mod.rs
+++ b/crates/routing-policy/tests/common/mod.rs
@@ -77,6 +77,7 @@
         deadline: now + 4 * SECOND,
         prompt_tokens: 1_000,
         max_tokens: 300,
+        client_can_resume: true,
         ..RequestSpec::default()
     }
 }
--- a/crates/routing-policy/tests/decision_trace/course.rs
+++ b/crates/routing-policy/tests/decision_trace/course.rs
@@ -249,6 +249,7 @@
             max_tokens: 300,
             is_retry: self.random_below(10) == 0,
             is_resumed: self.random_below(30) == 0,
+            client_can_resume: true,
             allowed_kinds: (self.random_below(30) == 0).then_some(0b11),
         }
     }
--- a/crates/routing-policy/tests/shutdown.rs
+++ b/crates/routing-policy/tests/shutdown.rs
@@ -88,6 +88,25 @@
     );
 }
 
+/// Guards against streams that are broken off although their clients cannot request the rest.
+#[test]
+fn streams_whose_clients_cannot_resume_them_are_not_migrated() {
+    let mut driver = driver(2, 3);
+    let unresumable = RequestSpec {
+        client_can_resume: false,
+        ..request_spec(9, driver.now)
+    };
+    driver.arrive(unresumable);
+    driver.deliver(attempt_ended(9, 0, PREFILL, PREFILLED));
+    driver.deliver(Event::StreamStarted {
+        id: RequestId(9),
+        attempt: 1,
+        endpoint: EndpointId(DECODE),
+        elapsed: 1,
+    });
+    assert_eq!(migrated(&mut driver, 2 * RESPOND_BY), [2, 1, 0]);
+}
+
 /// Clients must not be sent to routers that serve no requests. Here the only other router began its
 /// shutdown shortly before.
 #[test]
--- a/crates/simulator-adapter/src/decode.rs
+++ b/crates/simulator-adapter/src/decode.rs
@@ -206,6 +206,7 @@
             max_tokens: fields.unsigned(9)?,
             is_retry: fields.flag(10)?,
             is_resumed: fields.flag(11)?,
+            client_can_resume: true,
             allowed_kinds: None,
         })
     }
