Break off idle streams by whether their client can resume them, not by deployment

Callers would see: where `domain.resume` is set, a response of the inference API on which nothing arrived for 4.0 s was broken off, although its client cannot resume it and its endpoint could continue until 4.5 s.

Change: the core asks `RequestSpec::is_resumable` for each attempt, and the upstream chooses between the two timeouts by `AttemptSpec::is_resumable`. The timeouts themselves are as before.

Evidence: `a_stream_of_the_inference_api_may_pause_for_longer_than_a_resumable_one` failed before with "the answer broke off" after a pause of 4.2 s, and passes now.

--- a/crates/router/src/core/dispatch.rs
+++ b/crates/router/src/core/dispatch.rs
@@ -64,6 +64,9 @@
         let prefill_only = attempt.role == Role::Prefill;
         request.in_flight = Some(attempt);
         let deadline = request.deadline;
+        let is_resumable = request
+            .spec(id)
+            .is_resumable(self.settings.resumable_streams);
         let is_non_idempotent = rule.idempotency() == Idempotency::NonIdempotent;
         self.outbound.send(AttemptSpec {
             attempt: AttemptId {
@@ -79,6 +82,7 @@
             needs_response: request.needs_response.clone(),
             prefill_only,
             non_idempotent: is_non_idempotent && !prefill_only,
+            is_resumable,
             message: request.incoming.message.clone(),
         });
     }
--- a/crates/router/src/core/messages.rs
+++ b/crates/router/src/core/messages.rs
@@ -270,6 +270,8 @@
     /// Whether the request must not be executed twice. The upstream then opens a new connection, as
     /// an idle one may break when it is used.
     pub non_idempotent: bool,
+    /// Whether the client can resume the response's stream at another router.
+    pub is_resumable: bool,
     /// The request that is forwarded to the endpoint.
     pub message: Rc<ForwardedRequest>,
 }
--- a/crates/router/src/core/requests.rs
+++ b/crates/router/src/core/requests.rs
@@ -71,7 +71,7 @@
     }
 
     /// The description of the request for the policy.
-    fn spec(&self, id: RequestId) -> RequestSpec {
+    pub(super) fn spec(&self, id: RequestId) -> RequestSpec {
         let incoming = &self.incoming;
         let session = incoming.session.as_deref();
         let shared_prefix = incoming.shared_prefix.as_deref();
--- a/crates/router/src/router/parts.rs
+++ b/crates/router/src/router/parts.rs
@@ -106,11 +106,8 @@
             endpoint_idle_timeout: allowed
                 .idle_close()
                 .unwrap_or(DEFAULT_ENDPOINT_IDLE_TIMEOUT),
-            stream_idle_timeout: if self.config.settings.resumable_streams {
-                RESUMABLE_STREAM_IDLE_TIMEOUT
-            } else {
-                STREAM_IDLE_TIMEOUT
-            },
+            stream_idle_timeout: STREAM_IDLE_TIMEOUT,
+            resumable_stream_idle_timeout: RESUMABLE_STREAM_IDLE_TIMEOUT,
             load_report_columns: self.config.site.report.clone(),
         }
     }
--- a/crates/router/src/upstream/attempt.rs
+++ b/crates/router/src/upstream/attempt.rs
@@ -112,12 +112,17 @@
             .as_ref()
             .map(|connection| connection.progress().clone());
         let options = &self.shared.options;
+        let idle_timeout = if self.spec.is_resumable {
+            options.resumable_stream_idle_timeout
+        } else {
+            options.stream_idle_timeout
+        };
         let relayed = tokio::select! {
             relayed = relay::relay(
                 &mut body,
                 first_chunk,
                 sender,
-                options.stream_idle_timeout,
+                idle_timeout,
                 progress.as_deref(),
             ) => relayed,
             Ok(()) = &mut self.stream_aborted => Err(Outcome::Cancelled),
--- a/crates/router/src/upstream/calls/tests.rs
+++ b/crates/router/src/upstream/calls/tests.rs
@@ -17,6 +17,7 @@
         connect_timeout: 250 * MS,
         endpoint_idle_timeout: 15_000 * MS,
         stream_idle_timeout: 4_000 * MS,
+        resumable_stream_idle_timeout: 4_000 * MS,
         load_report_columns: LoadReportSettings::default(),
     };
     let pool = ConnectionPool::new(
--- a/crates/router/src/upstream/mod.rs
+++ b/crates/router/src/upstream/mod.rs
@@ -43,8 +43,10 @@
     pub connect_timeout: Duration,
     /// Idle time after which endpoints close a connection.
     pub endpoint_idle_timeout: Duration,
-    /// Maximum time without data from a stream before it counts as broken.
+    /// Maximum time without data from a stream that cannot be resumed before it counts as broken.
     pub stream_idle_timeout: Duration,
+    /// The same for a stream that its client can resume at another router.
+    pub resumable_stream_idle_timeout: Duration,
     /// Names of the values in load reports.
     pub load_report_columns: LoadReportSettings,
 }
--- a/crates/router/src/upstream/tests.rs
+++ b/crates/router/src/upstream/tests.rs
@@ -25,6 +25,7 @@
             connect_timeout: Duration::from_millis(250),
             endpoint_idle_timeout: LONG,
             stream_idle_timeout: LONG,
+            resumable_stream_idle_timeout: LONG,
             load_report_columns: LoadReportSettings::default(),
         };
         let mut upstream = Upstream::new(handle, options, None, tasks.spawner());
@@ -51,6 +52,7 @@
             needs_response: Rc::new(Cell::new(true)),
             prefill_only: false,
             non_idempotent: true,
+            is_resumable: false,
             message: Rc::default(),
         });
         let event = events.recv().await;
--- a/crates/router/tests/races.rs
+++ b/crates/router/tests/races.rs
@@ -132,6 +132,30 @@
     }
 }
 
+/// Guards against a stream of the inference API that is broken off after the idle timeout of
+/// resumable streams, although its client cannot resume it and its endpoint continues in time.
+#[test]
+fn a_stream_of_the_inference_api_may_pause_for_longer_than_a_resumable_one() {
+    run_test_with_paused_clock(async {
+        let server = ManualServer::start().await;
+        let mut settings = settings_for_attempts_only();
+        settings["domain"]["resume"] = true.into();
+        let entries = vec![server.endpoint_entry("mixed", "up")];
+        let router = TestRouter::start_with_settings(entries, settings).await;
+        let body = r#"{"model":"m","stream":true,"messages":[{"role":"user","content":"x"}]}"#;
+        let mut client = ManualConnection::connect(router.inference).await;
+        client.send(&request("b2", "order", "", body)).await;
+        let (mut attempt, _) = server.accept_request().await;
+        let begin = format!("{STREAM_HEAD}{}", encode_chunk(CHAT_EVENT));
+        attempt.send(&begin).await;
+        client.read_until(CHAT_EVENT).await;
+        tokio::time::sleep(Duration::from_millis(4_200)).await;
+        let rest = [FINISH_EVENT, DONE_EVENT].map(encode_chunk).concat();
+        attempt.send(&format!("{rest}{LAST_CHUNK}")).await;
+        client.read_until(LAST_CHUNK).await;
+    });
+}
+
 /// More bytes than the router reads ahead and the system buffers.
 const FLOOD_BYTES: usize = 512 * 1024;
 
