End waiting requests at a shutdown also where streams are not resumable

Callers saw: where `domain.resume` is not set, a request that waited for a response at SIGTERM, for example at an endpoint that does not respond, got none at all if its deadline was later than SIGKILL: its connection broke with the process.

Cause: `Parts::start_shutdown_notification` told the core of the shutdown only where streams are resumable, as there is nothing to migrate elsewhere. The same event ends the requests without a stream.

Change: the core is always told. `Policy::continue_shutdown` migrates by `RequestSpec::is_resumable`, so streams still run to their ends; peers are notified only where streams are resumable, as before.

Evidence: `a_request_that_waits_has_its_final_response_before_the_program_may_be_killed` failed before ("Platform, resume: false") and passes now. `only_requests_without_a_stream_are_ended_where_streams_are_not_resumable` covers the policy; its fault was outside of it.

--- a/crates/router/src/router/parts.rs
+++ b/crates/router/src/router/parts.rs
@@ -142,13 +142,8 @@
         discovery_done
     }
 
-    /// Starts a task that notifies the core when the shutdown starts. If streams cannot be resumed
-    /// at another router, the core is not notified: streams in flight are finished, however long
-    /// that takes.
+    /// Starts a task that notifies the core when the shutdown starts.
     pub(super) fn start_shutdown_notification(&self) {
-        if !self.config.settings.resumable_streams {
-            return;
-        }
         let deadlines = self
             .config
             .site
--- a/crates/router/tests/shutdown.rs
+++ b/crates/router/tests/shutdown.rs
@@ -12,7 +12,7 @@
     DONE_EVENT, LAST_CHUNK, STREAM_HEAD,
 };
 use cranetack_router::shutdown::ACCEPT_WINDOW;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 const CHAT_PATH: &str = "/v1/chat/completions";
 /// A body that is valid on both APIs.
@@ -240,3 +240,26 @@
         });
     }
 }
+
+/// Guards against requests that wait until the program is ended, without a final response: where
+/// streams are not resumable, nothing ended them before their deadlines.
+#[test]
+fn a_request_that_waits_has_its_final_response_before_the_program_may_be_killed() {
+    /// The time from the signal until the program may be killed, for deadlines of 3 s and more.
+    const KILL_AFTER: Duration = Duration::from_millis(3_700);
+    for api in [Api::Platform, Api::Inference] {
+        for resume in [false, true] {
+            run_test_with_paused_clock(async {
+                let (server, mut router) = start_router(Behaviour::Hang, resume).await;
+                let mut client = ManualConnection::connect(api.address(&router)).await;
+                client.send(&chat_request("s6", "", CHAT_BODY)).await;
+                server.wait_until(|seen| !seen.is_empty()).await;
+                router.shutdown_sender.take().unwrap().send(()).unwrap();
+                let response = timeout(KILL_AFTER, client.read_until("HTTP/1.1 50")).await;
+                assert!(response.is_ok(), "{api:?}, resume: {resume}");
+                drop(client);
+                router.stopped.await.unwrap();
+            });
+        }
+    }
+}
--- a/crates/routing-policy/src/shutdown.rs
+++ b/crates/routing-policy/src/shutdown.rs
@@ -30,17 +30,20 @@
 }
 
 impl Policy {
-    /// Advances a shutdown of this router at a tick. If gossip is enabled, notifies peers in the
-    /// first `ANNOUNCEMENT_COUNT` ticks. Migrates up to [`MAX_MIGRATIONS_PER_TICK`] resumable
-    /// streams in each tick from `migrate_from` on, the newest first, unless all peers that notify
-    /// this router of their shutdown are shutting down too. From `respond_by` on, migrates all
-    /// resumable streams at once and gives all requests without a stream their final response.
-    /// Streams that are not resumable go on to their end.
+    /// Advances a shutdown of this router at a tick. If gossip is enabled and streams are
+    /// resumable, notifies peers in the first `ANNOUNCEMENT_COUNT` ticks. Migrates up to
+    /// [`MAX_MIGRATIONS_PER_TICK`] resumable streams in each tick from `migrate_from` on, the
+    /// newest first, unless all peers that notify this router of their shutdown are shutting down
+    /// too. From `respond_by` on, migrates all resumable streams at once and gives all requests
+    /// without a stream their final response. Streams that are not resumable go on to their end.
     pub(crate) fn continue_shutdown(&mut self) {
         let Some(shutdown) = self.shutdown.as_mut() else {
             return;
         };
-        let must_announce = self.parameters.gossip && shutdown.announcements_left > 0;
+        // Peers use the announcement only to decide whether they migrate their own streams.
+        let must_announce = self.parameters.gossip
+            && self.parameters.resumable_streams
+            && shutdown.announcements_left > 0;
         if must_announce {
             shutdown.announcements_left -= 1;
         }
--- a/crates/routing-policy/tests/shutdown.rs
+++ b/crates/routing-policy/tests/shutdown.rs
@@ -28,14 +28,8 @@
     )
     .0;
     for id in 0..streams {
-        driver.arrive(request_spec(id, driver.now));
-        driver.deliver(attempt_ended(id, 0, PREFILL, PREFILLED));
-        driver.deliver(Event::StreamStarted {
-            id: RequestId(id),
-            attempt: 1,
-            endpoint: EndpointId(DECODE),
-            elapsed: 1,
-        });
+        let request = request_spec(id, driver.now);
+        start_stream(&mut driver, request);
     }
     assert_eq!(
         routes(&driver.arrive(request_spec(streams, driver.now))),
@@ -48,6 +42,19 @@
     driver
 }
 
+/// Delivers a request, and the events up to the beginning of its stream.
+fn start_stream(driver: &mut Driver, request: RequestSpec) {
+    let id = request.id;
+    driver.arrive(request);
+    driver.deliver(attempt_ended(id.0, 0, PREFILL, PREFILLED));
+    driver.deliver(Event::StreamStarted {
+        id,
+        attempt: 1,
+        endpoint: EndpointId(DECODE),
+        elapsed: 1,
+    });
+}
+
 /// Advances the clock by `duration`. Returns the requests whose streams are migrated, in order;
 /// each stream ends at once.
 fn migrated(driver: &mut Driver, duration: Micros) -> Vec<u32> {
@@ -96,14 +103,7 @@
         client_can_resume: false,
         ..request_spec(9, driver.now)
     };
-    driver.arrive(unresumable);
-    driver.deliver(attempt_ended(9, 0, PREFILL, PREFILLED));
-    driver.deliver(Event::StreamStarted {
-        id: RequestId(9),
-        attempt: 1,
-        endpoint: EndpointId(DECODE),
-        elapsed: 1,
-    });
+    start_stream(&mut driver, unresumable);
     assert_eq!(migrated(&mut driver, 2 * RESPOND_BY), [2, 1, 0]);
 }
 
@@ -182,6 +182,44 @@
     );
 }
 
+/// Guards against requests that wait until the program is ended, without a final response: the
+/// policy was not notified of a shutdown where streams are not resumable. Streams go on there, and
+/// no peer needs to know.
+#[test]
+fn only_requests_without_a_stream_are_ended_where_streams_are_not_resumable() {
+    let settings = Settings {
+        router_count: Some(2),
+        router_index: Some(0),
+        gossip: true,
+        ..settings(Idempotency::NonIdempotent)
+    };
+    let endpoints = vec![endpoint_spec(PREFILL, 0, 0), endpoint_spec(DECODE, 1, 0)];
+    let mut driver = Driver::new(settings, endpoints).0;
+    let request = request_spec(0, driver.now);
+    start_stream(&mut driver, request);
+    driver.arrive(request_spec(1, driver.now));
+    driver.deliver(Event::ShutdownStarted {
+        migrate_from: driver.now + MIGRATE_FROM,
+        respond_by: driver.now + RESPOND_BY,
+    });
+    let actions = driver.advance(2 * RESPOND_BY);
+    let is_notification = |action: &Action| matches!(action, Action::Gossip { .. });
+    assert!(!actions.iter().any(|(_, action)| is_notification(action)));
+    let ended: Vec<u32> = actions
+        .iter()
+        .filter_map(|(_, action)| ended(action))
+        .collect();
+    assert_eq!(ended, [1]);
+}
+
+/// The request that an action ends.
+fn ended(action: &Action) -> Option<u32> {
+    match action {
+        Action::Migrate(id) | Action::Reject { id, .. } | Action::Fail(id) => Some(id.0),
+        _ => None,
+    }
+}
+
 /// If every router notified all others, the number of messages would grow with the square of the
 /// number of routers. When 300 routers are restarted one after another, each would notify each of
 /// the others 46 times, which would cost more than the requests.
