Shorten the accept window by the time that the signal may be noticed late

Cause: the window of 0.7 s began when the router noticed the signal.

Change: `ACCEPT_WINDOW` is the latest time for a request less the delay of the signal, 0.55 s. The time by which all requests have their response is unchanged.

Evidence: `no_request_is_accepted_too_late_although_the_signal_is_noticed_late` fails with a window of 0.7 s (status 200) and passes now.

--- a/crates/router/src/shutdown.rs
+++ b/crates/router/src/shutdown.rs
@@ -9,9 +9,14 @@
 
 use crate::tasks::TaskGroup;
 
-/// Time for which connections and requests are accepted after the signal. Whoever directs clients to
-/// this router needs that time to notice the shutdown.
-pub const ACCEPT_WINDOW: Duration = Duration::from_millis(700);
+/// Time for which connections and requests are accepted after the router has noticed the signal.
+/// Whoever directs clients to this router needs that time to notice the shutdown.
+pub const ACCEPT_WINDOW: Duration = LATEST_ACCEPT.saturating_sub(MAX_SIGNAL_DELAY);
+/// Latest time after the signal at which a request may be accepted. Whoever ends the program waits
+/// for its response to begin from then on.
+const LATEST_ACCEPT: Duration = Duration::from_millis(700);
+/// Longest time after which a router that the system holds up notices the signal.
+const MAX_SIGNAL_DELAY: Duration = Duration::from_millis(150);
 /// Longest time to the beginning of a response that the schedule allows for. Whoever ends the
 /// program does not wait for a response that may take longer to begin.
 const MAX_RESPONSE_WAIT: Duration = Duration::from_millis(3_000);
@@ -68,7 +73,7 @@
     /// Creates a schedule for clients that wait for at most `longest_deadline`.
     pub fn for_longest_deadline(longest_deadline: Duration) -> ShutdownSchedule {
         let respond_within =
-            longest_deadline.min(MAX_RESPONSE_WAIT) + ACCEPT_WINDOW - SAFETY_MARGIN;
+            longest_deadline.min(MAX_RESPONSE_WAIT) + LATEST_ACCEPT - SAFETY_MARGIN;
         ShutdownSchedule {
             migrate_after: respond_within
                 .saturating_sub(MIGRATION_DURATION)
--- a/crates/router/tests/shutdown.rs
+++ b/crates/router/tests/shutdown.rs
@@ -12,7 +12,7 @@
     DONE_EVENT, LAST_CHUNK, STREAM_HEAD,
 };
 use cranetack_router::shutdown::ACCEPT_WINDOW;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 const CHAT_PATH: &str = "/v1/chat/completions";
 /// A body that is valid on both APIs.
@@ -263,3 +263,27 @@
         }
     }
 }
+
+/// Guards against a request that is accepted too late because the router, held up by the system,
+/// noticed the signal late.
+#[test]
+fn no_request_is_accepted_too_late_although_the_signal_is_noticed_late() {
+    const HELD_UP: Duration = Duration::from_millis(150);
+    const LATEST_ACCEPT: Duration = Duration::from_millis(700);
+    run_test_with_paused_clock(async {
+        let (server, mut router) = start_router(Behaviour::Answer, false).await;
+        let request = chat_request("s7", "", CHAT_BODY);
+        let (begin, rest) = request.split_at(request.len() - 1);
+        let mut client = ManualConnection::connect(router.platform).await;
+        client.send(begin).await;
+        let signalled = Instant::now();
+        sleep(HELD_UP).await;
+        router.shutdown_sender.take().unwrap().send(()).unwrap();
+        sleep_until(signalled + LATEST_ACCEPT).await;
+        client.send(rest).await;
+        client.read_until("HTTP/1.1 503 ").await;
+        assert_eq!(server.count_started(CHAT_PATH), 0);
+        drop(client);
+        router.stopped.await.unwrap();
+    });
+}
