--- a/crates/router/src/frontend/mod.rs
+++ b/crates/router/src/frontend/mod.rs
@@ -8,6 +8,7 @@
 mod body;
 mod byte_budget;
 mod client_stream;
+mod connection_server;
 mod connection_state;
 mod connections;
 mod headers;
