--- a/crates/router/src/frontend/body.rs
+++ b/crates/router/src/frontend/body.rs
@@ -108,7 +108,8 @@
         }
         let declared_length = usize::try_from(self.body.size_hint().lower()).unwrap_or(usize::MAX);
         let mut body = self.body;
-        // A client that still waits for `100 Continue` sends no body. Reading sends it.
+        // A client that still waits for `100 Continue` sends no body. Reading the body makes hyper
+        // send that response.
         let mut is_arriving = !self.expects_continue;
         let result = match check_headers_and_reserve(headers, declared_length, size_limit, budget) {
             Ok((coding, reservation)) => {
@@ -123,7 +124,12 @@
                 );
                 match shutdown::receive_in_accept_window(self.phase, reading).await {
                     Some(read) => read.unwrap_or(Err(BodyError::TimedOut)),
-                    None => Err(BodyError::ShuttingDown),
+                    None => {
+                        tracing::debug!(
+                            "request rejected: its body was incomplete when the accept window ended"
+                        );
+                        Err(BodyError::ShuttingDown)
+                    }
                 }
             }
             Err(error) => Err(error),
