Read what has arrived before a connection is closed at a shutdown

Callers would see: a request whose last bytes reached the router's machine just before the end of the accept window, while the router had read a part of its head only, was closed without a response, although it was complete in time.

Cause: at the end of the window `serve_http` asked `ClientConnection::has_unread_request`, which is true only between requests. Bytes that wait behind a part of a head were not looked at, and the connection was closed.

Change: as long as the socket has received anything that has not been read, the connection is not closed.

--- a/crates/router/src/frontend/connection_server.rs
+++ b/crates/router/src/frontend/connection_server.rs
@@ -104,9 +104,9 @@
         if let Poll::Ready(result) = serving.as_mut().poll(cx) {
             return Poll::Ready(result);
         }
-        // A request that has arrived but was read too late, or whose body is still incomplete, is
-        // rejected by `RequestBody::read_to_end`.
-        if is_closing || connection.has_unread_request(socket) {
+        // What has arrived is read first: it may complete a request. `RequestBody::read_to_end`
+        // rejects a request that was read too late, or whose body is still incomplete.
+        if is_closing || socket.borrow().has_received() {
             return Poll::Pending;
         }
         // A request whose head is still incomplete is not accepted. The connection is closed, and
--- a/crates/router/tests/shutdown.rs
+++ b/crates/router/tests/shutdown.rs
@@ -287,3 +287,30 @@
         router.stopped.await.unwrap();
     });
 }
+
+/// Guards against a request closed without a response: its last bytes were unread at the window's end.
+#[test]
+fn a_head_whose_rest_has_arrived_unread_at_the_end_of_the_accept_window_is_rejected() {
+    for api in [Api::Platform, Api::Inference] {
+        run_test_with_paused_clock(async {
+            let (server, mut router) = start_router(Behaviour::Answer, false).await;
+            let request = chat_request("s8", "", CHAT_BODY);
+            let (begin, rest) = request.split_at(request.len() / 3);
+            let mut client = ManualConnection::connect(api.address(&router)).await;
+            client.send(begin).await;
+            router.shutdown_sender.take().unwrap().send(()).unwrap();
+            sleep(ACCEPT_WINDOW).await;
+            // This task runs before that of the connection, as the time of both has come.
+            let mut sender = client.sender();
+            sender.send_until_closed(rest).await;
+            let (received, end) = client.read_to_end().await;
+            assert!(
+                received.starts_with("HTTP/1.1 503 "),
+                "{api:?}: {received:?}"
+            );
+            assert_eq!(end, ConnectionEnd::Closed);
+            assert_eq!(server.count_started(CHAT_PATH), 0);
+            router.stopped.await.unwrap();
+        });
+    }
+}
