Allow 3 s at a shutdown for requests whose class has no deadline

Callers would see: where no class has a deadline, all requests without a stream were rejected or failed 0.3 s after SIGTERM.

Cause: `Parts::start_shutdown_notification` left classes without a deadline out of the longest deadline, and took 0 s if none was left.

Change: `ShutdownSchedule::for_deadlines` takes a missing deadline as the longest one that it allows for, 3 s, which is also what whoever ends the program takes for longer ones.

Evidence: `a_request_whose_class_has_no_deadline_has_time_for_its_response_at_a_shutdown` failed before with status 502 and passes now; paused clock.

--- a/crates/router/src/router/parts.rs
+++ b/crates/router/src/router/parts.rs
@@ -144,13 +144,9 @@
 
     /// Starts a task that notifies the core when the shutdown starts.
     pub(super) fn start_shutdown_notification(&self) {
-        let deadlines = self
-            .config
-            .site
-            .classes
-            .iter()
-            .filter_map(ClassSettings::deadline);
-        let schedule = ShutdownSchedule::for_longest_deadline(deadlines.max().unwrap_or_default());
+        let classes = &self.config.site.classes;
+        let deadlines = classes.iter().map(ClassSettings::deadline);
+        let schedule = ShutdownSchedule::for_deadlines(deadlines);
         let draining = shutdown::started(self.phase.clone());
         let handle = self.handle.clone();
         self.tasks.spawn(async move {
--- a/crates/router/src/shutdown.rs
+++ b/crates/router/src/shutdown.rs
@@ -70,10 +70,15 @@
 }
 
 impl ShutdownSchedule {
-    /// Creates a schedule for clients that wait for at most `longest_deadline`.
-    pub fn for_longest_deadline(longest_deadline: Duration) -> ShutdownSchedule {
-        let respond_within =
-            longest_deadline.min(MAX_RESPONSE_WAIT) + LATEST_ACCEPT - SAFETY_MARGIN;
+    /// Creates a schedule for requests with these deadlines. A class without a deadline, and no
+    /// class at all, count as one with the longest deadline that the schedule allows for.
+    pub fn for_deadlines(deadlines: impl Iterator<Item = Option<Duration>>) -> ShutdownSchedule {
+        let response_wait = deadlines
+            .map(|deadline| deadline.unwrap_or(MAX_RESPONSE_WAIT))
+            .max()
+            .unwrap_or(MAX_RESPONSE_WAIT)
+            .min(MAX_RESPONSE_WAIT);
+        let respond_within = response_wait + LATEST_ACCEPT - SAFETY_MARGIN;
         ShutdownSchedule {
             migrate_after: respond_within
                 .saturating_sub(MIGRATION_DURATION)
--- a/crates/router/tests/shutdown.rs
+++ b/crates/router/tests/shutdown.rs
@@ -12,6 +12,7 @@
     DONE_EVENT, LAST_CHUNK, STREAM_HEAD,
 };
 use cranetack_router::shutdown::ACCEPT_WINDOW;
+use serde_json::Value;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 const CHAT_PATH: &str = "/v1/chat/completions";
@@ -39,9 +40,16 @@
 /// Starts a server and a router, with or without streams that clients of the platform API can
 /// resume.
 async fn start_router(behaviour: Behaviour, resume: bool) -> (Rc<FakeServer>, TestRouter) {
-    let server = FakeServer::start(8, behaviour).await;
     let mut settings = test_settings();
     settings["domain"]["resume"] = resume.into();
+    start_router_with_settings(behaviour, settings).await
+}
+
+async fn start_router_with_settings(
+    behaviour: Behaviour,
+    settings: Value,
+) -> (Rc<FakeServer>, TestRouter) {
+    let server = FakeServer::start(8, behaviour).await;
     let entries = vec![endpoint_entry(&server, "mixed", "up")];
     let router = TestRouter::start_with_settings(entries, settings).await;
     (server, router)
@@ -314,3 +322,25 @@
         });
     }
 }
+
+/// Guards against a request that is rejected 0.3 s after the signal, as its class has no deadline.
+#[test]
+fn a_request_whose_class_has_no_deadline_has_time_for_its_response_at_a_shutdown() {
+    const SERVICE_TIME: Duration = Duration::from_secs(2);
+    run_test_with_paused_clock(async {
+        let mut settings = test_settings();
+        for class in settings["classes"].as_array_mut().unwrap() {
+            class.as_object_mut().unwrap().remove("deadline_us");
+        }
+        let (server, mut router) = start_router_with_settings(Behaviour::Answer, settings).await;
+        server.service_time.set(SERVICE_TIME);
+        let mut client = ManualConnection::connect(router.platform).await;
+        client.send(&chat_request("s9", "", CHAT_BODY)).await;
+        server.wait_until(|seen| !seen.is_empty()).await;
+        router.shutdown_sender.take().unwrap().send(()).unwrap();
+        client.read_until("HTTP/1.1 200 ").await;
+        client.read_until(LAST_CHUNK).await;
+        drop(client);
+        router.stopped.await.unwrap();
+    });
+}
