Read the accept queue to its end at a shutdown although a call fails

Callers would see: if one call to accept failed at the end of the accept window (ECONNABORTED, a momentary lack of descriptors), all connections still in the queue were reset, with the requests on them.

Cause: `accept_queued` took every failure, and a listener that the runtime had not yet reported as ready, for an empty queue.

Change: the queue is read through the system's listener until it says that it is empty; other failures are handled as in `accept`, whose rule both now share (`wait_before_retry`). The arguments of a served connection are in one closure.

Evidence: `a_failed_call_does_not_end_the_reading_of_the_accept_queue` fails if each failure ends the reading, as before (None instead of the connection), and passes now. It needs no time or socket. The test of the accept queue over sockets passes too.

--- a/crates/router/src/frontend/server.rs
+++ b/crates/router/src/frontend/server.rs
@@ -1,7 +1,7 @@
 //! Accepts the connections of a listener, and serves a [`Frontend`] on each of them.
 
-use std::future::ready;
-use std::io::ErrorKind;
+use std::future::Future;
+use std::io::{self, ErrorKind};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -47,6 +47,8 @@
     limiter: &Rc<ConnectionLimiter>,
     phase: watch::Receiver<Phase>,
 ) {
+    let serve =
+        |stream, connection| serve_connection(stream, connection, frontend.clone(), phase.clone());
     let mut connections = JoinSet::new();
     loop {
         let (stream, connection) = tokio::select! {
@@ -55,14 +57,9 @@
             accepted = accept(&listener, limiter) => accepted,
         };
         while connections.try_join_next().is_some() {}
-        connections.spawn_local(serve_connection(
-            stream,
-            connection,
-            frontend.clone(),
-            phase.clone(),
-        ));
+        connections.spawn_local(serve(stream, connection));
     }
-    reject_queued(listener, frontend, limiter, phase).await;
+    reject_queued(listener, |stream| serve(stream, limiter.register(None))).await;
     while connections.join_next().await.is_some() {}
 }
 
@@ -70,24 +67,25 @@
 /// window, and closes the listener. If the listener were closed before, they would be reset,
 /// although requests may have arrived on them. They have no permits: those of a router whose
 /// connections are all in use become free too late.
-async fn reject_queued<F: Frontend>(
+async fn reject_queued<Serving: Future<Output = ()> + 'static>(
     listener: TcpListener,
-    frontend: F,
-    limiter: &Rc<ConnectionLimiter>,
-    phase: watch::Receiver<Phase>,
+    serve: impl Fn(TcpStream) -> Serving,
 ) {
+    // The runtime's listener may not have been told yet that connections are in the queue.
+    let listener = match listener.into_std() {
+        Ok(listener) => listener,
+        Err(error) => {
+            tracing::warn!(%error, "could not read the accept queue, connections in it are reset");
+            return;
+        }
+    };
     let mut connections = JoinSet::new();
     let accepting = async {
-        while let Some(stream) = accept_queued(&listener).await {
+        while let Some(stream) = accept_queued(|| accept_now(&listener)).await {
             if connections.len() >= MAX_CONNECTIONS_WITHOUT_PERMIT {
                 connections.join_next().await;
             }
-            connections.spawn_local(serve_connection(
-                stream,
-                limiter.register(None),
-                frontend.clone(),
-                phase.clone(),
-            ));
+            connections.spawn_local(serve(stream));
         }
     };
     // New connections that arrive all the time must not keep the listener open.
@@ -96,12 +94,21 @@
     while connections.join_next().await.is_some() {}
 }
 
-/// Accepts the next connection in the operating system's accept queue, if there is one.
-async fn accept_queued(listener: &TcpListener) -> Option<TcpStream> {
-    tokio::select! {
-        biased;
-        accepted = listener.accept() => accepted.ok().map(|(stream, _)| stream),
-        () = ready(()) => None,
+/// Accepts a connection that is in the accept queue, without waiting for one.
+fn accept_now(listener: &std::net::TcpListener) -> io::Result<TcpStream> {
+    let (stream, _) = listener.accept()?;
+    stream.set_nonblocking(true)?;
+    TcpStream::from_std(stream)
+}
+
+/// Calls `accept` until it returns a connection. Returns `None` if the accept queue is empty.
+async fn accept_queued<Stream>(accept: impl Fn() -> io::Result<Stream>) -> Option<Stream> {
+    loop {
+        match accept() {
+            Ok(stream) => return Some(stream),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return None,
+            Err(error) => wait_before_retry(error).await,
+        }
     }
 }
 
@@ -123,20 +130,25 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => return (stream, limiter.register(permit)),
-            // The client has already closed this connection. The next one may be waiting, so it is
-            // accepted without a delay.
-            Err(error)
-                if matches!(
-                    error.kind(),
-                    ErrorKind::ConnectionAborted | ErrorKind::Interrupted
-                ) =>
-            {
-                tracing::debug!(%error, "client connection closed before it was accepted");
-            }
-            Err(error) => {
-                tracing::warn!(%error, "could not accept a client connection, will retry");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
+            Err(error) => wait_before_retry(error).await,
         }
     }
 }
+
+/// Logs why a connection could not be accepted, and waits until the next attempt is worthwhile.
+async fn wait_before_retry(error: io::Error) {
+    match error.kind() {
+        // The client has already closed this connection. The next one may be waiting, so it is
+        // accepted without a delay.
+        ErrorKind::ConnectionAborted | ErrorKind::Interrupted => {
+            tracing::debug!(%error, "client connection closed before it was accepted");
+        }
+        _ => {
+            tracing::warn!(%error, "could not accept a client connection, will retry");
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
