Tell a restarted policy of the shutdown that has started

Callers would see: if the policy panicked during a shutdown, requests that came after it waited until SIGKILL, and streams that could be resumed were not migrated.

Cause: `Core::restart_policy` replaced the policy by one that knew the endpoints only; the shutdown is reported once.

Change: the core keeps the event and delivers it to the new policy.

Evidence: `a_panic_during_a_shutdown_does_not_end_the_shutdown` failed before (the attempt of the second request was not cancelled by the time for responses) and passes now; paused clock.

--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -51,6 +51,8 @@
     endpoints: EndpointTable,
     requests: HashMap<RequestId, Request>,
     timers: TimerQueue,
+    /// The event with which the policy was told of the router's shutdown, if there is one.
+    shutdown: Option<Event>,
     /// Events for the policy that arose while an action was carried out.
     pending_events: VecDeque<Event>,
     violations: u64,
@@ -68,6 +70,7 @@
             endpoints: EndpointTable::default(),
             requests: HashMap::new(),
             timers: TimerQueue::default(),
+            shutdown: None,
             pending_events: VecDeque::new(),
             violations: 0,
         }
@@ -141,10 +144,12 @@
             } => {
                 let migrate_from = self.clock.time_of(migrate_from);
                 let respond_by = self.clock.time_of(respond_by);
-                self.handle_policy_event(Event::ShutdownStarted {
+                let shutdown = Event::ShutdownStarted {
                     migrate_from,
                     respond_by,
-                });
+                };
+                self.shutdown = Some(shutdown.clone());
+                self.handle_policy_event(shutdown);
             }
             CoreEvent::EndpointReportsRequested(reply) => {
                 // The receiver may have been dropped.
@@ -211,8 +216,9 @@
         }
     }
 
-    /// Replaces the policy by a new one with the current endpoint list. Requests without a response
-    /// fail, as they may have been executed; responses that stream go on.
+    /// Replaces the policy by a new one with the current endpoint list, which is told of a shutdown
+    /// that has started. Requests without a response fail, as they may have been executed;
+    /// responses that stream go on.
     fn restart_policy(&mut self) {
         tracing::error!(
             "a decision failed: the policy is restarted, and requests without a response fail"
@@ -230,6 +236,9 @@
         }
         let specs = self.endpoints.specs();
         self.handle_policy_event(Event::EndpointsUpdated(EndpointUpdate::Snapshot(specs)));
+        if let Some(shutdown) = self.shutdown.clone() {
+            self.handle_policy_event(shutdown);
+        }
     }
 
     /// Records a step in the trace of a request.
--- a/crates/router/tests/core.rs
+++ b/crates/router/tests/core.rs
@@ -12,7 +12,9 @@
     CoreEvent, Endpoint, EndpointEntry, EndpointListUpdate, IncomingRequest, SlotReservation,
 };
 use cranetack_router::exchange::{self, FinalResponse, ForwardedRequest};
-use cranetack_routing_policy::{ConnectFailure, EndpointState, Idempotency, Outcome, ResetCause};
+use cranetack_routing_policy::{
+    ConnectFailure, EndpointState, Idempotency, Outcome, RequestId, ResetCause,
+};
 use tokio::time::Instant;
 
 use harness::*;
@@ -299,6 +301,32 @@
     }
 }
 
+/// Guards against requests that are not ended at a shutdown after a panic: the new policy knew of none.
+#[tokio::test(start_paused = true)]
+async fn a_panic_during_a_shutdown_does_not_end_the_shutdown() {
+    const RESPOND_WITHIN: Duration = Duration::from_millis(500);
+    let harness = CoreHarness::new(Idempotency::Idempotent);
+    let now = Instant::now();
+    harness.handle.send(CoreEvent::ShutdownStarted {
+        migrate_from: now,
+        respond_by: now + RESPOND_WITHIN,
+    });
+    harness.outbound.panics_on_next_send.set(true);
+    let _first = submit(&harness.handle, "q");
+    let _second = submit(&harness.handle, "r");
+    let CoreHarness {
+        core,
+        outbound,
+        handle: _handle,
+        events,
+    } = harness;
+    let _ = tokio::time::timeout(2 * RESPOND_WITHIN, core.run(events)).await;
+    let calls = outbound.take_calls();
+    let is_cancel_of_second =
+        |call: &Call| matches!(call, Call::Cancel(attempt) if attempt.request != RequestId(0));
+    assert!(calls.iter().any(is_cancel_of_second), "{calls:?}");
+}
+
 /// If no endpoint accepts the request, it is rejected as soon as it can no longer be served, not
 /// only at its deadline.
 #[tokio::test(start_paused = true)]
