Test a batch at a shutdown, and say in one line what each test guards against

Change: a test of a slice whose response has begun at the shutdown, and comments of one line. No assertion of another test changed.

--- a/crates/router/tests/races.rs
+++ b/crates/router/tests/races.rs
@@ -132,8 +132,7 @@
     }
 }
 
-/// Guards against a stream of the inference API that is broken off after the idle timeout of
-/// resumable streams, although its client cannot resume it and its endpoint continues in time.
+/// Guards against a stream that is broken off early as idle although its client cannot resume it.
 #[test]
 fn a_stream_of_the_inference_api_may_pause_for_longer_than_a_resumable_one() {
     run_test_with_paused_clock(async {
--- a/crates/router/tests/shutdown.rs
+++ b/crates/router/tests/shutdown.rs
@@ -84,8 +84,7 @@
     client.read_to_end().await
 }
 
-/// Guards against a lost request: a request whose last byte came after the accept window was sent to
-/// an endpoint, and the end of the program broke off its response.
+/// Guards against a request that is accepted after the window, so that SIGKILL cuts off its response.
 #[test]
 fn a_request_whose_body_ends_after_the_accept_window_is_rejected_and_not_executed() {
     for api in [Api::Platform, Api::Inference] {
@@ -109,7 +108,7 @@
     }
 }
 
-/// Clients may keep using their connections until the accept window ends, also slowly.
+/// Guards against a rejection of a slow request that is complete before the accept window ends.
 #[test]
 fn a_request_whose_body_ends_within_the_accept_window_is_served() {
     for api in [Api::Platform, Api::Inference] {
@@ -128,9 +127,7 @@
     }
 }
 
-/// Guards against a reset within a body that a client still sends: the connection of a rejected
-/// request was closed at the end of the accept window, and a client whose write fails may not read
-/// the response.
+/// Guards against a reset of a client that still sends the body of a rejected request.
 #[test]
 fn a_rejected_body_may_be_sent_to_its_end_after_the_accept_window() {
     const BODY_LIMIT: usize = 256 * 1024;
@@ -156,8 +153,7 @@
     }
 }
 
-/// Guards against a request that is read and then gets no response: its client sent it after the
-/// last event of a stream and before the end of the response, and the router closed the connection.
+/// Guards against a request that is read while a response streams and then gets no response.
 #[test]
 fn a_request_that_was_read_behind_a_stream_is_rejected_after_the_accept_window() {
     run_test_with_paused_clock(async {
@@ -187,8 +183,7 @@
     });
 }
 
-/// Guards against a request that is reset without a response: its connection was in the system's
-/// accept queue, as all permits were in use, when the listener was closed.
+/// Guards against a request that waits in the accept queue and is reset with the listener.
 #[test]
 fn a_request_in_the_accept_queue_at_the_end_of_the_accept_window_is_rejected() {
     /// Of 64 descriptors, 32 are reserved. Half of the rest is for clients, and two frontends share
@@ -218,8 +213,7 @@
     }
 }
 
-/// Guards against lost responses: where clients of the platform API can resume streams, responses of
-/// the inference API were broken off at a shutdown too, although its clients cannot.
+/// Guards against responses that are broken off at a shutdown although their clients cannot resume.
 #[test]
 fn responses_of_the_inference_api_are_finished_although_other_streams_are_resumable() {
     // With this pause before each event, a stream ends after the time by which all streams that can
@@ -249,8 +243,7 @@
     }
 }
 
-/// Guards against requests that wait until the program is ended, without a final response: where
-/// streams are not resumable, nothing ended them before their deadlines.
+/// Guards against a request that still waits for its final response at SIGKILL.
 #[test]
 fn a_request_that_waits_has_its_final_response_before_the_program_may_be_killed() {
     /// The time from the signal until the program may be killed, for deadlines of 3 s and more.
@@ -272,8 +265,7 @@
     }
 }
 
-/// Guards against a request that is accepted too late because the router, held up by the system,
-/// noticed the signal late.
+/// Guards against a request that is accepted too late because the router noticed the signal late.
 #[test]
 fn no_request_is_accepted_too_late_although_the_signal_is_noticed_late() {
     const HELD_UP: Duration = Duration::from_millis(150);
@@ -344,3 +336,35 @@
         router.stopped.await.unwrap();
     });
 }
+
+/// Guards against a batch that fails at a shutdown because the response to a slice is broken off.
+#[test]
+fn a_slice_whose_response_has_begun_is_finished_although_streams_are_resumable() {
+    const RESULTS: &str = r#"{"results":[{"index":0,"relevance_score":1.0}]}"#;
+    run_test_with_paused_clock(async {
+        let server = ManualServer::start().await;
+        let mut settings = test_settings();
+        settings["domain"]["ahead"] = false.into();
+        settings["domain"]["resume"] = true.into();
+        let entries = vec![server.endpoint_entry("mixed", "up")];
+        let mut router = TestRouter::start_with_settings(entries, settings).await;
+        let body = r#"{"model":"m","query":"q","documents":["d"]}"#;
+        let request = chat_request("s10", "", body).replace(CHAT_PATH, "/v1/rerank");
+        let mut client = ManualConnection::connect(router.inference).await;
+        client.send(&request).await;
+        let (mut attempt, _) = server.accept_request().await;
+        let (begin, rest) = RESULTS.split_at(10);
+        let length = RESULTS.len();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: {length}\r\n\r\n"
+        );
+        attempt.send(&format!("{head}{begin}")).await;
+        router.shutdown_sender.take().unwrap().send(()).unwrap();
+        // By now all streams that can be resumed have been migrated.
+        sleep(Duration::from_millis(3_500)).await;
+        attempt.sender().send_until_closed(rest).await;
+        let (received, _) = client.read_to_end().await;
+        assert!(received.starts_with("HTTP/1.1 200 "), "{received:?}");
+        router.stopped.await.unwrap();
+    });
+}
--- a/crates/routing-policy/tests/shutdown.rs
+++ b/crates/routing-policy/tests/shutdown.rs
@@ -182,9 +182,7 @@
     );
 }
 
-/// Guards against requests that wait until the program is ended, without a final response: the
-/// policy was not notified of a shutdown where streams are not resumable. Streams go on there, and
-/// no peer needs to know.
+/// Guards against streams broken off, and peers notified, where streams are not resumable.
 #[test]
 fn only_requests_without_a_stream_are_ended_where_streams_are_not_resumable() {
     let settings = Settings {
