--- a/review/lib-2/src/cases/burst.rs
+++ b/review/lib-2/src/cases/burst.rs
@@ -118,7 +118,7 @@
 
 /// The operator's file of the inference API as the repository has it, with the classes of this
 /// deployment and a free address.
-fn inference_file(root: &std::path::Path, listen: SocketAddr) -> std::io::Result<String> {
+pub fn inference_file(root: &std::path::Path, listen: SocketAddr) -> std::io::Result<String> {
     let text = fs::read_to_string(root.join("deploy/inference.toml"))?;
     let text = text
         .replace("127.0.0.1:8090", &listen.to_string())
--- a/review/lib-2/src/cases/mod.rs
+++ b/review/lib-2/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod burst;
+mod choices;
 mod gone;
 mod pipeline;
 mod settings;
@@ -12,6 +13,7 @@
 pub fn run(case: &str, context: &Context) -> Verdict {
     match case {
         "burst" => burst::run(context),
+        "choices" => choices::run(context),
         "gone" => gone::run(context),
         "view" => view::run(context),
         "settings" => settings::run(context),
--- a/review/lib-2/src/cases/view.rs
+++ b/review/lib-2/src/cases/view.rs
@@ -15,6 +15,9 @@
 /// 50 ms by which limits are longer on sockets.
 const RECONNECTS_AFTER: Duration = Duration::from_millis(320);
 
+/// The time from one drain to the next. Seven drains take 6.4 s.
+const INTERVAL: Duration = Duration::from_millis(1_071);
+
 pub fn run(context: &Context) -> Verdict {
     let record = &context.record;
     let fleet = Fleet::start(6, 6, record)?;
@@ -30,8 +33,11 @@
     thread::sleep(Duration::from_secs(2));
     let clusters = ["prefill", "decode"];
     let mut stale = 0;
-    // A quarter of the workers drain, one after another, and stay up.
-    for (number, worker) in [0, 6, 7].into_iter().enumerate() {
+    // Seven of twelve workers, which are to be replaced, begin to drain within 7 s.
+    let first = Instant::now();
+    for (number, worker) in [0, 6, 1, 7, 2, 8, 9].into_iter().enumerate() {
+        let begins = first + INTERVAL * number as u32;
+        thread::sleep(begins.saturating_duration_since(Instant::now()));
         let entry = &fleet.entries[worker];
         let told_by = Instant::now();
         if context.trouble {
@@ -60,11 +66,9 @@
                 return Err(std::io::Error::other("a worker that is up is not listed as healthy"));
             }
         }
-        // The next drain comes at no fixed distance from the last one.
-        thread::sleep(Duration::from_millis(2_130 + 170 * number as u64));
     }
     record.say(format!(
-        "{stale} of 12 views listed a worker as healthy that had drained over 0.3 s before"
+        "{stale} of 28 views listed a worker as healthy that had drained over 0.3 s before"
     ));
     Ok(stale == 0)
 }
--- a/review/lib-2/src/worker.rs
+++ b/review/lib-2/src/worker.rs
@@ -106,6 +106,12 @@
         self.state.lock().unwrap().attempts.clone()
     }
 
+    /// Resets the connection of the request's next `times` answers with several choices, between
+    /// two choices.
+    pub fn reset_between_choices(&self, id: &str, times: u32) {
+        self.reset_at_writer(&format!("{id}/choice"), times);
+    }
+
     /// How often a request ran at a writer.
     pub fn runs(&self, id: &str) -> usize {
         let state = self.state.lock().unwrap();
@@ -274,6 +280,9 @@
         if connection.write(head.as_bytes()).is_err() {
             return false;
         }
+        if field(body, "n").unwrap_or(1) > 1 {
+            return self.write_choices(connection, id, body, name);
+        }
         let events = field(body, "events").unwrap_or(3);
         let gap = field(body, "gap_ms").unwrap_or(10);
         for number in 0..events {
@@ -298,6 +307,40 @@
     }
 }
 
+impl Fleet {
+    /// Streams several choices, one after another, and ends the stream.
+    fn write_choices(&self, connection: &mut Connection, id: &str, body: &str, name: &str) -> bool {
+        for choice in 0..field(body, "n").unwrap_or(1) {
+            let is_broken = {
+                let mut state = self.state.lock().unwrap();
+                let times = state.resets.get_mut(&format!("{id}/choice"));
+                let is_broken = choice > 0 && times.as_ref().is_some_and(|times| **times > 0);
+                if let Some(times) = times.filter(|_| is_broken) {
+                    *times -= 1;
+                }
+                is_broken
+            };
+            if is_broken {
+                self.record.line(format!("{name}: the stream of {id} breaks before choice {choice}"));
+                return false;
+            }
+            for (content, finish) in [("one", "null"), ("two", "null"), ("", "\"stop\"")] {
+                let event = format!(
+                    "data: {{\"choices\":[{{\"index\":{choice},\"delta\":{{\"content\":\"{content}\"}},\"finish_reason\":{finish}}}]}}\n\n"
+                );
+                if connection.write(chunk(&event).as_bytes()).is_err() {
+                    return false;
+                }
+                thread::sleep(Duration::from_millis(60));
+            }
+        }
+        let usage = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":9,\"completion_tokens\":6}}\n\n";
+        let end = format!("{}{}0\r\n\r\n", chunk(usage), chunk("data: [DONE]\n\n"));
+        self.record.line(format!("{name}: the stream of {id} is complete"));
+        connection.write(end.as_bytes()).is_ok()
+    }
+}
+
 fn simple(status: &str, body: &str) -> String {
     format!(
         "HTTP/1.1 {status}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\r\n{body}",
