Review case 6: one large request takes the router over its memory

Cause: decoding a chat message holds 48 bytes for each part of three bytes, outside the byte budget and the limit on lists.

--- a/review/lib-2/src/cases/mod.rs
+++ b/review/lib-2/src/cases/mod.rs
@@ -3,6 +3,7 @@
 mod burst;
 mod choices;
 mod gone;
+mod memory;
 mod pipeline;
 mod settings;
 mod shutdown;
@@ -14,6 +15,7 @@
     match case {
         "burst" => burst::run(context),
         "choices" => choices::run(context),
+        "memory" => memory::run(context),
         "gone" => gone::run(context),
         "view" => view::run(context),
         "settings" => settings::run(context),
--- a/review/lib-2/src/router.rs
+++ b/review/lib-2/src/router.rs
@@ -12,6 +12,9 @@
 use crate::http::{read_response, Connection};
 use crate::record::Record;
 
+/// The memory limit of a router, in MB.
+pub const MEMORY_MB: u64 = 192;
+
 /// The processes that were started and not ended yet, by their ids.
 static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
@@ -66,7 +69,7 @@
     };
     format!(
         r#"{{"name": "{name}", "listen": "{listen}", "discovery": "{discovery}", "seed": "8c1f30d27a5be964",
-  "limits": {{"cores": 1.0, "memory_mb": 192, "sockets": {sockets}}},
+  "limits": {{"cores": 1.0, "memory_mb": {MEMORY_MB}, "sockets": {sockets}}},
   {known}"settings": {{
     "allowed": {{"cancelling": true, "connect_timeout_us": 250000, "idle_close_us": 15000000, "max_attempts": 5, "max_retry_after_us": 1000000, "most_held": 26666, "parallel_tries": false, "peers": false, "probing": true, "retry_after": true, "streams_per_conn": 32}},
     "az": "erie", "balancers": 3, "me": 0, "family": "twostage", "kinds": ["prefill", "decode"], "zones": ["duluth", "sault", "erie"],
@@ -174,6 +177,11 @@
         self.record.line(format!("signal {signal} to the router"));
     }
 
+    /// The id of the router's process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// The status with which the router ended, if it has.
     pub fn ended(&mut self) -> Option<String> {
         let status = self.child.try_wait().ok()??;
