Review case 7: while discovery is slow, drained workers get new work without end

Cause: calls are given up after 2.5 s and repeated for ever, so that answers that take 3 s never arrive.

--- a/review/lib-2/src/cases/mod.rs
+++ b/review/lib-2/src/cases/mod.rs
@@ -7,6 +7,7 @@
 mod pipeline;
 mod settings;
 mod shutdown;
+mod slow;
 mod view;
 
 use crate::{Context, Verdict};
@@ -16,6 +17,7 @@
         "burst" => burst::run(context),
         "choices" => choices::run(context),
         "memory" => memory::run(context),
+        "slow" => slow::run(context),
         "gone" => gone::run(context),
         "view" => view::run(context),
         "settings" => settings::run(context),
--- a/review/lib-2/src/discovery.rs
+++ b/review/lib-2/src/discovery.rs
@@ -2,6 +2,7 @@
 //! changes.
 
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -36,6 +37,8 @@
 pub struct Discovery {
     pub address: SocketAddr,
     list: Arc<(Mutex<List>, Condvar)>,
+    /// How long each answer takes, in milliseconds, beside the wait that the call asks for.
+    delay_ms: Arc<AtomicU64>,
     record: Record,
 }
 
@@ -60,6 +63,7 @@
         let discovery = Discovery {
             address: listener.local_addr()?,
             list: Arc::new((Mutex::new(list), Condvar::new())),
+            delay_ms: Arc::default(),
             record: record.clone(),
         };
         let served = discovery.clone();
@@ -99,6 +103,13 @@
         changed.notify_all();
     }
 
+    /// Makes each answer take this long.
+    pub fn answer_after(&self, delay: Duration) {
+        let ms = delay.as_millis() as u64;
+        self.delay_ms.store(ms, Ordering::SeqCst);
+        self.record.line(format!("discovery: each answer takes {ms} ms"));
+    }
+
     /// Waits for a change after version `from`, and returns the changes.
     fn changes(&self, from: u64, hold: Duration) -> String {
         let (list, changed) = &*self.list;
@@ -136,6 +147,7 @@
                     self.changes(from, Duration::from_millis(hold))
                 }
             };
+            thread::sleep(Duration::from_millis(self.delay_ms.load(Ordering::SeqCst)));
             let response = format!(
                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
