--- a/review/lib-2/src/router.rs
+++ b/review/lib-2/src/router.rs
@@ -97,9 +97,26 @@
     pub address: SocketAddr,
     pub config: PathBuf,
     child: Child,
+    /// Kills the router if this program ends without doing so.
+    guard: Child,
     record: Record,
 }
 
+/// Starts a shell that kills the process `router` once this program has ended.
+fn start_guard(router: u32) -> io::Result<Child> {
+    let own = std::process::id();
+    let script = format!(
+        "while kill -0 {own} && kill -0 {router}; do sleep 0.2; done; kill -0 {own} || kill -KILL {router}"
+    );
+    Command::new("/bin/sh")
+        .arg("-c")
+        .arg(script)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+}
+
 /// The value of a key of the deploy file.
 fn deploy_command(root: &Path, key: &str) -> io::Result<String> {
     let text = fs::read_to_string(root.join("deploy/balancer.toml"))?;
@@ -140,10 +157,12 @@
         if let Ok(mut running) = RUNNING.lock() {
             running.push(child.id());
         }
+        let guard = start_guard(child.id())?;
         let mut router = Router {
             address,
             config,
             child,
+            guard,
             record: record.clone(),
         };
         router.record.line(format!("router {name} started at {address}"));
@@ -193,6 +212,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = self.guard.wait();
         if let Ok(mut running) = RUNNING.lock() {
             running.retain(|id| *id != self.child.id());
         }
