--- a/review/lib-2/src/cases/burst.rs
+++ b/review/lib-2/src/cases/burst.rs
@@ -66,7 +66,10 @@
     fs::write(&inference, inference_file(&context.root, free_address()?)?)?;
     let mut options = Options::new(discovery.address);
     options.sockets = SOCKETS;
-    let variable = ("CRANETACK_INFERENCE".to_owned(), inference.display().to_string());
+    let variable = (
+        "CRANETACK_INFERENCE".to_owned(),
+        inference.display().to_string(),
+    );
     options.environment.push(variable);
     let router = Router::start("n0", &context.root, &context.folder, &options, record)?;
     let start = Instant::now();
@@ -76,7 +79,11 @@
     let total = (USUAL_FOR + BURST_FOR).as_secs_f64();
     while at < total {
         let is_burst = context.trouble && at >= USUAL_FOR.as_secs_f64();
-        let rate = if is_burst { USUAL_RATE * BURST } else { USUAL_RATE };
+        let rate = if is_burst {
+            USUAL_RATE * BURST
+        } else {
+            USUAL_RATE
+        };
         let send_at = start + Duration::from_secs_f64(at);
         let id = format!("r{:03}", clients.len());
         let (address, record, held) = (router.address, record.clone(), held.clone());
@@ -99,17 +106,22 @@
     let most = held.most.load(Ordering::SeqCst);
     record.line(format!("clients held at most {most} connections at once"));
     if most > CLIENTS_AT_MOST {
-        return Err(Error::other("clients held more than a third of the descriptors"));
+        return Err(Error::other(
+            "clients held more than a third of the descriptors",
+        ));
     }
     let is_overstated = |attempt: &Attempt| {
         let left = sent_at.get(&attempt.id).map(|sent| {
             (*sent + Duration::from_millis(DEADLINE_MS)).saturating_duration_since(attempt.begun)
         });
         let stated = attempt.deadline_ms.map(Duration::from_millis);
-        left.zip(stated).is_some_and(|(left, stated)| stated > left + DEADLINE_SLACK)
+        left.zip(stated)
+            .is_some_and(|(left, stated)| stated > left + DEADLINE_SLACK)
     };
     let overstated = fleet.attempts().iter().filter(|a| is_overstated(a)).count();
-    record.say(format!("{overstated} attempts stated over 0.2 s more than their client had left"));
+    record.say(format!(
+        "{overstated} attempts stated over 0.2 s more than their client had left"
+    ));
     record.say(format!(
         "{lost} of {sent} requests got no answer within their deadline and 0.55 s"
     ));
@@ -126,7 +138,11 @@
         .replace("class = \"embeddings\"", "class = \"parts-lookup\"")
         .replace("class = \"rerank\"", "class = \"parts-lookup\"");
     // The list of models names classes of another site, and may be left out.
-    Ok(text.split("# Without any model").next().unwrap_or("").to_owned())
+    Ok(text
+        .split("# Without any model")
+        .next()
+        .unwrap_or("")
+        .to_owned())
 }
 
 /// What became of a request.
@@ -150,7 +166,10 @@
     match &head {
         Ok(head) => {
             let status = head.status();
-            record.line(format!("client: {id} got {status} after {} ms", waited.as_millis()));
+            record.line(format!(
+                "client: {id} got {status} after {} ms",
+                waited.as_millis()
+            ));
             let until = Instant::now() + Duration::from_secs(30);
             let read = connection.read_body(head, Some(until), |_| {});
             record.line(format!("client: {id} ended ({read:?})"));
--- a/review/lib-2/src/cases/choices.rs
+++ b/review/lib-2/src/cases/choices.rs
@@ -21,7 +21,10 @@
     let listen = free_address()?;
     fs::write(&inference, inference_file(&context.root, listen)?)?;
     let mut options = Options::new(discovery.address);
-    let variable = ("CRANETACK_INFERENCE".to_owned(), inference.display().to_string());
+    let variable = (
+        "CRANETACK_INFERENCE".to_owned(),
+        inference.display().to_string(),
+    );
     options.environment.push(variable);
     let _router = Router::start("n0", &context.root, &context.folder, &options, record)?;
     let mut wrong = 0;
@@ -40,7 +43,9 @@
         );
         let mut connection = Connection::open(listen)?;
         connection.write(request.as_bytes())?;
-        record.line(format!("client: asks for {CHOICES} choices in one response ({id})"));
+        record.line(format!(
+            "client: asks for {CHOICES} choices in one response ({id})"
+        ));
         let answer = read_response(&mut connection, Instant::now() + Duration::from_secs(8));
         let answer = answer.map_err(|end| std::io::Error::other(format!("no answer: {end:?}")))?;
         let text = String::from_utf8_lossy(&answer.body).into_owned();
@@ -48,9 +53,13 @@
         let choices = text.matches("\"finish_reason\":\"stop\"").count();
         if answer.status == 200 && choices < CHOICES {
             wrong += 1;
-            record.line(format!("broken: {id} got 200 with {choices} of {CHOICES} choices"));
+            record.line(format!(
+                "broken: {id} got 200 with {choices} of {CHOICES} choices"
+            ));
         }
     }
-    record.say(format!("{wrong} of {REQUESTS} answers were passed on as whole and were not"));
+    record.say(format!(
+        "{wrong} of {REQUESTS} answers were passed on as whole and were not"
+    ));
     Ok(wrong == 0)
 }
--- a/review/lib-2/src/cases/gone.rs
+++ b/review/lib-2/src/cases/gone.rs
@@ -41,7 +41,10 @@
         }
         let began = Instant::now();
         let mut connection = Connection::open(router.address)?;
-        record.line(format!("client {client}: sends {} bytes at once", bytes.len()));
+        record.line(format!(
+            "client {client}: sends {} bytes at once",
+            bytes.len()
+        ));
         connection.write(&bytes)?;
         record.line(format!("client {client}: all is written"));
         thread::sleep(LEAVES_AFTER.saturating_sub(began.elapsed()));
--- a/review/lib-2/src/cases/memory.rs
+++ b/review/lib-2/src/cases/memory.rs
@@ -37,7 +37,10 @@
     let listen = free_address()?;
     fs::write(&inference, inference_file(&context.root, listen)?)?;
     let mut options = Options::new(discovery.address);
-    let variable = ("CRANETACK_INFERENCE".to_owned(), inference.display().to_string());
+    let variable = (
+        "CRANETACK_INFERENCE".to_owned(),
+        inference.display().to_string(),
+    );
     options.environment.push(variable);
     let router = Router::start("n0", &context.root, &context.folder, &options, record)?;
     let platform = Platform::start(&router, record);
@@ -50,7 +53,15 @@
         })
         .collect();
     thread::sleep(Duration::from_millis(300));
-    send_large(listen, if context.trouble { BODY_BYTES } else { 64 * 1024 }, record);
+    send_large(
+        listen,
+        if context.trouble {
+            BODY_BYTES
+        } else {
+            64 * 1024
+        },
+        record,
+    );
     let mut lost = 0;
     for client in clients {
         let answered = client.join();
@@ -62,7 +73,9 @@
         "the router held up to {} MB of {MEMORY_MB}; killed by the platform: {was_killed}",
         platform.most_mb()
     ));
-    record.say(format!("{lost} of {CLIENTS} requests of usual clients were not answered in whole"));
+    record.say(format!(
+        "{lost} of {CLIENTS} requests of usual clients were not answered in whole"
+    ));
     Ok(!was_killed && lost == 0)
 }
 
@@ -91,7 +104,9 @@
     }
     let answer = read_response(&mut connection, Instant::now() + Duration::from_secs(10));
     let answer = answer.map(|answer| answer.status);
-    record.line(format!("bad client: wrote it ({sent:?}) and got {answer:?}"));
+    record.line(format!(
+        "bad client: wrote it ({sent:?}) and got {answer:?}"
+    ));
 }
 
 /// Sends one request. Returns whether it was answered in time and in whole.
@@ -101,8 +116,15 @@
     let Ok(mut connection) = Connection::open(address) else {
         return false;
     };
-    let class = if client % 3 == 0 { "parts-order" } else { "parts-lookup" };
-    if connection.write(&chat(&id, class, DEADLINE_MS, work, 8_000)).is_err() {
+    let class = if client.is_multiple_of(3) {
+        "parts-order"
+    } else {
+        "parts-lookup"
+    };
+    if connection
+        .write(&chat(&id, class, DEADLINE_MS, work, 8_000))
+        .is_err()
+    {
         return false;
     }
     record.line(format!("client: sends {id}"));
@@ -139,9 +161,14 @@
                 let held = resident_kb(process).unwrap_or(0);
                 most_kb.fetch_max(held, Ordering::SeqCst);
                 if held > MEMORY_MB * 1024 && !was_killed.swap(true, Ordering::SeqCst) {
-                    record.line(format!("platform: the router holds {held} kB and is killed"));
+                    record.line(format!(
+                        "platform: the router holds {held} kB and is killed"
+                    ));
                     let command = format!("kill -KILL {process}");
-                    let _ = std::process::Command::new("/bin/sh").arg("-c").arg(command).status();
+                    let _ = std::process::Command::new("/bin/sh")
+                        .arg("-c")
+                        .arg(command)
+                        .status();
                     return;
                 }
                 thread::sleep(LOOK_EVERY);
@@ -164,6 +191,8 @@
 /// The memory that a process holds, in kB.
 fn resident_kb(process: u32) -> Option<u64> {
     let status = fs::read_to_string(format!("/proc/{process}/status")).ok()?;
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))?;
     line.split_whitespace().next()?.parse().ok()
 }
--- a/review/lib-2/src/cases/pipeline.rs
+++ b/review/lib-2/src/cases/pipeline.rs
@@ -36,7 +36,9 @@
 fn send_all(context: &Context, router: &Router, client: usize) -> std::io::Result<usize> {
     let record = &context.record;
     let mut connection = Connection::open(router.address)?;
-    let ids: Vec<String> = (0..REQUESTS).map(|n| format!("c{client}-r{n:02}")).collect();
+    let ids: Vec<String> = (0..REQUESTS)
+        .map(|n| format!("c{client}-r{n:02}"))
+        .collect();
     let work = r#""read_ms":30,"first_ms":20,"events":3,"gap_ms":10"#;
     let request = |id: &str| chat(id, "parts-lookup", DEADLINE_MS, work, PROMPT_BYTES);
     let mut lost = 0;
@@ -45,7 +47,9 @@
         let mut writer = connection.stream.try_clone()?;
         let length = all.len();
         let writing = std::thread::spawn(move || std::io::Write::write_all(&mut writer, &all));
-        record.line(format!("client {client}: sends {REQUESTS} requests at once, {length} bytes"));
+        record.line(format!(
+            "client {client}: sends {REQUESTS} requests at once, {length} bytes"
+        ));
         let until = Instant::now() + Duration::from_millis(DEADLINE_MS) + LATEST_ANSWER;
         let mut ended = None;
         for id in &ids {
@@ -70,8 +74,12 @@
                 }
             }
         }
-        let written = writing.join().map_err(|_| std::io::Error::other("writing panicked"))?;
-        record.line(format!("client {client}: its requests were written: {written:?}"));
+        let written = writing
+            .join()
+            .map_err(|_| std::io::Error::other("writing panicked"))?;
+        record.line(format!(
+            "client {client}: its requests were written: {written:?}"
+        ));
         return Ok(lost);
     }
     for id in &ids {
--- a/review/lib-2/src/cases/shutdown.rs
+++ b/review/lib-2/src/cases/shutdown.rs
@@ -32,7 +32,9 @@
                 let all: Vec<u8> = ids.iter().flat_map(request).collect();
                 let mut connection = Connection::open(address)?;
                 connection.write(&all)?;
-                record.line(format!("client {client}: sends {REQUESTS} requests at once"));
+                record.line(format!(
+                    "client {client}: sends {REQUESTS} requests at once"
+                ));
                 let until = Instant::now() + Duration::from_millis(DEADLINE_MS) + LATEST_ANSWER;
                 let mut lost = 0;
                 for id in &ids {
--- a/review/lib-2/src/cases/slow.rs
+++ b/review/lib-2/src/cases/slow.rs
@@ -44,7 +44,10 @@
         clients.push(thread::spawn(move || {
             let work = r#""read_ms":60,"first_ms":30,"events":3,"gap_ms":20"#;
             if let Ok(mut connection) = Connection::open(address) {
-                if connection.write(&chat(&id, "parts-lookup", 4_000, work, 4_000)).is_ok() {
+                if connection
+                    .write(&chat(&id, "parts-lookup", 4_000, work, 4_000))
+                    .is_ok()
+                {
                     let _ = read_response(&mut connection, Instant::now() + Duration::from_secs(6));
                 }
             }
@@ -60,14 +63,19 @@
         let after = attempt.begun.saturating_duration_since(drained);
         if attempt.worker.ends_with('0') && after > TOLD_AFTER + GRACE {
             late += 1;
-            record.line_at(attempt.begun, format!(
-                "broken: {} got {} {} ms after it began to drain",
-                attempt.worker,
-                attempt.id,
-                after.as_millis()
-            ));
+            record.line_at(
+                attempt.begun,
+                format!(
+                    "broken: {} got {} {} ms after it began to drain",
+                    attempt.worker,
+                    attempt.id,
+                    after.as_millis()
+                ),
+            );
         }
     }
-    record.say(format!("{late} attempts began at a drained worker over 6.3 s after its drain"));
+    record.say(format!(
+        "{late} attempts began at a drained worker over 6.3 s after its drain"
+    ));
     Ok(late == 0)
 }
--- a/review/lib-2/src/cases/view.rs
+++ b/review/lib-2/src/cases/view.rs
@@ -63,7 +63,9 @@
                 stale += 1;
                 record.line(format!("broken: {} is listed as healthy", entry.name));
             } else if !context.trouble && !is_healthy {
-                return Err(std::io::Error::other("a worker that is up is not listed as healthy"));
+                return Err(std::io::Error::other(
+                    "a worker that is up is not listed as healthy",
+                ));
             }
         }
     }
--- a/review/lib-2/src/discovery.rs
+++ b/review/lib-2/src/discovery.rs
@@ -107,7 +107,8 @@
     pub fn answer_after(&self, delay: Duration) {
         let ms = delay.as_millis() as u64;
         self.delay_ms.store(ms, Ordering::SeqCst);
-        self.record.line(format!("discovery: each answer takes {ms} ms"));
+        self.record
+            .line(format!("discovery: each answer takes {ms} ms"));
     }
 
     /// Waits for a change after version `from`, and returns the changes.
--- a/review/lib-2/src/main.rs
+++ b/review/lib-2/src/main.rs
@@ -75,8 +75,7 @@
     let (sender, verdicts) = std::sync::mpsc::channel();
     std::thread::spawn(move || {
         let verdict = std::panic::catch_unwind(|| cases::run(&case, &context));
-        let verdict =
-            verdict.unwrap_or_else(|_| Err(std::io::Error::other("a stand-in panicked")));
+        let verdict = verdict.unwrap_or_else(|_| Err(std::io::Error::other("a stand-in panicked")));
         let _ = sender.send(verdict);
     });
     let code = match verdicts.recv_timeout(TIME_LIMIT) {
--- a/review/lib-2/src/router.rs
+++ b/review/lib-2/src/router.rs
@@ -22,7 +22,10 @@
 pub fn kill_all() {
     if let Ok(running) = RUNNING.lock() {
         for id in running.iter() {
-            let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -KILL {id}")).status();
+            let _ = Command::new("/bin/sh")
+                .arg("-c")
+                .arg(format!("kill -KILL {id}"))
+                .status();
         }
     }
 }
@@ -120,7 +123,9 @@
 /// The value of a key of the deploy file.
 fn deploy_command(root: &Path, key: &str) -> io::Result<String> {
     let text = fs::read_to_string(root.join("deploy/balancer.toml"))?;
-    let line = text.lines().find(|line| line.starts_with(&format!("{key} =")));
+    let line = text
+        .lines()
+        .find(|line| line.starts_with(&format!("{key} =")));
     let value = line.and_then(|line| line.split_once('='));
     let value = value.map(|(_, value)| value.trim().trim_matches('"').to_owned());
     value.ok_or_else(|| io::Error::other(format!("the deploy file has no {key}")))
@@ -165,7 +170,9 @@
             guard,
             record: record.clone(),
         };
-        router.record.line(format!("router {name} started at {address}"));
+        router
+            .record
+            .line(format!("router {name} started at {address}"));
         router.wait_until_ready()?;
         Ok(router)
     }
@@ -178,7 +185,8 @@
             }
             if let Ok(mut connection) = Connection::open(self.address) {
                 let asked = connection.write(b"GET /up HTTP/1.1\r\nHost: app.svc\r\n\r\n");
-                let answer = read_response(&mut connection, Instant::now() + Duration::from_secs(1));
+                let answer =
+                    read_response(&mut connection, Instant::now() + Duration::from_secs(1));
                 if asked.is_ok() && answer.is_ok_and(|answer| answer.status == 200) {
                     self.record.line("router is up");
                     return Ok(());
--- a/review/lib-2/src/worker.rs
+++ b/review/lib-2/src/worker.rs
@@ -120,7 +120,11 @@
 
     /// Resets the connection of the request's next `times` attempts at writers, after they began.
     pub fn reset_at_writer(&self, id: &str, times: u32) {
-        self.state.lock().unwrap().resets.insert(id.to_owned(), times);
+        self.state
+            .lock()
+            .unwrap()
+            .resets
+            .insert(id.to_owned(), times);
     }
 
     fn serve(&self, stream: TcpStream, name: &str, role: Role) {
@@ -159,10 +163,14 @@
         }
         if path == "/metrics/load" || path == "/alive" {
             let report = "X-Load: TEXT latency_ms=40, x0=0.10, x1=0.5";
-            return connection.write(simple("200 OK", report).as_bytes()).is_ok();
+            return connection
+                .write(simple("200 OK", report).as_bytes())
+                .is_ok();
         }
         let Some(id) = head.header("x-request-id") else {
-            return connection.write(simple("404 Not Found", "").as_bytes()).is_ok();
+            return connection
+                .write(simple("404 Not Found", "").as_bytes())
+                .is_ok();
         };
         let deadline_ms = head.header("x-deadline-ms").and_then(|ms| ms.parse().ok());
         self.state.lock().unwrap().attempts.push(Attempt {
@@ -182,13 +190,7 @@
         }
     }
 
-    fn answer_room(
-        &self,
-        connection: &mut Connection,
-        method: &str,
-        id: &str,
-        name: &str,
-    ) -> bool {
+    fn answer_room(&self, connection: &mut Connection, method: &str, id: &str, name: &str) -> bool {
         if method == "DELETE" {
             let mut state = self.state.lock().unwrap();
             state.held.remove(id);
@@ -234,7 +236,13 @@
     }
 
     fn read_prompt(&self, connection: &mut Connection, id: &str, body: &str, name: &str) -> bool {
-        *self.state.lock().unwrap().reading.entry(id.to_owned()).or_default() += 1;
+        *self
+            .state
+            .lock()
+            .unwrap()
+            .reading
+            .entry(id.to_owned())
+            .or_default() += 1;
         let is_done = self.work(connection, id, name, field(body, "read_ms").unwrap_or(20));
         {
             let mut state = self.state.lock().unwrap();
@@ -246,7 +254,8 @@
         if !is_done {
             return false;
         }
-        self.record.line(format!("{name}: prompt of {id} is read (202)"));
+        self.record
+            .line(format!("{name}: prompt of {id} is read (202)"));
         let answer = simple("202 Accepted", r#"{"cached_tokens":0}"#);
         connection.write(answer.as_bytes()).is_ok()
     }
@@ -257,7 +266,8 @@
             state.places.remove(id);
             if !state.held.remove(id) {
                 drop(state);
-                self.record.line(format!("{name}: no read state of {id} (410)"));
+                self.record
+                    .line(format!("{name}: no read state of {id} (410)"));
                 let answer = "HTTP/1.1 410 Gone\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
                 return connection.write(answer.as_bytes()).is_ok();
             }
@@ -286,12 +296,17 @@
         let events = field(body, "events").unwrap_or(3);
         let gap = field(body, "gap_ms").unwrap_or(10);
         for number in 0..events {
-            let finish = if number + 1 == events { "\"stop\"" } else { "null" };
+            let finish = if number + 1 == events {
+                "\"stop\""
+            } else {
+                "null"
+            };
             let event = format!(
                 "data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{id}-{number} \"}},\"finish_reason\":{finish}}}]}}\n\n"
             );
             if connection.write(chunk(&event).as_bytes()).is_err() {
-                self.record.line(format!("{name}: the stream of {id} was closed"));
+                self.record
+                    .line(format!("{name}: the stream of {id} was closed"));
                 return false;
             }
             if !self.work(connection, id, name, gap) {
@@ -302,7 +317,8 @@
             "data: {{\"choices\":[],\"usage\":{{\"prompt_tokens\":100,\"completion_tokens\":{events}}}}}\n\n"
         );
         let end = format!("{}{}0\r\n\r\n", chunk(&usage), chunk("data: [DONE]\n\n"));
-        self.record.line(format!("{name}: the stream of {id} is complete"));
+        self.record
+            .line(format!("{name}: the stream of {id} is complete"));
         connection.write(end.as_bytes()).is_ok()
     }
 }
@@ -321,7 +337,9 @@
                 is_broken
             };
             if is_broken {
-                self.record.line(format!("{name}: the stream of {id} breaks before choice {choice}"));
+                self.record.line(format!(
+                    "{name}: the stream of {id} breaks before choice {choice}"
+                ));
                 return false;
             }
             for (content, finish) in [("one", "null"), ("two", "null"), ("", "\"stop\"")] {
@@ -334,9 +352,11 @@
                 thread::sleep(Duration::from_millis(60));
             }
         }
-        let usage = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":9,\"completion_tokens\":6}}\n\n";
+        let usage =
+            "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":9,\"completion_tokens\":6}}\n\n";
         let end = format!("{}{}0\r\n\r\n", chunk(usage), chunk("data: [DONE]\n\n"));
-        self.record.line(format!("{name}: the stream of {id} is complete"));
+        self.record
+            .line(format!("{name}: the stream of {id} is complete"));
         connection.write(end.as_bytes()).is_ok()
     }
 }
--- a/review/lib-2/src/xds.rs
+++ b/review/lib-2/src/xds.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
-const PATH: &str = "/envoy.service.discovery.v3.AggregatedDiscoveryService/StreamAggregatedResources";
+const PATH: &str =
+    "/envoy.service.discovery.v3.AggregatedDiscoveryService/StreamAggregatedResources";
 const ENDPOINTS: &str = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment";
 
 const DATA: u8 = 0;
@@ -100,19 +101,23 @@
     found
 }
 
-fn parts<'a>(message: &'a [u8], number: u64) -> Vec<&'a [u8]> {
-    let parts = fields(message).into_iter().filter_map(|(n, field)| match field {
-        Field::Bytes(bytes) if n == number => Some(bytes),
-        _ => None,
-    });
+fn parts(message: &[u8], number: u64) -> Vec<&[u8]> {
+    let parts = fields(message)
+        .into_iter()
+        .filter_map(|(n, field)| match field {
+            Field::Bytes(bytes) if n == number => Some(bytes),
+            _ => None,
+        });
     parts.collect()
 }
 
 fn number(message: &[u8], number: u64) -> u64 {
-    let found = fields(message).into_iter().find_map(|(n, field)| match field {
-        Field::Number(value) if n == number => Some(value),
-        _ => None,
-    });
+    let found = fields(message)
+        .into_iter()
+        .find_map(|(n, field)| match field {
+            Field::Number(value) if n == number => Some(value),
+            _ => None,
+        });
     found.unwrap_or(0)
 }
 
