--- a/review/lib-2/src/router.rs
+++ b/review/lib-2/src/router.rs
@@ -4,6 +4,7 @@
 use std::fs;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -100,20 +101,23 @@
     pub address: SocketAddr,
     pub config: PathBuf,
     child: Child,
-    /// Kills the router if this program ends without doing so.
+    /// Kills the router and removes its folder if this program ends without doing so.
     guard: Child,
     record: Record,
 }
 
-/// Starts a shell that kills the process `router` once this program has ended.
-fn start_guard(router: u32) -> io::Result<Child> {
+/// Starts a shell that kills the process `router` and removes its folder once this program has ended.
+fn start_guard(router: u32, folder: &Path) -> io::Result<Child> {
     let own = std::process::id();
     let script = format!(
-        "while kill -0 {own} && kill -0 {router}; do sleep 0.2; done; kill -0 {own} || kill -KILL {router}"
+        "while kill -0 {own} && kill -0 {router}; do sleep 0.2; done; kill -0 {own} || {{ kill -KILL {router}; rm -rf \"$FOLDER\"; }}"
     );
     Command::new("/bin/sh")
         .arg("-c")
         .arg(script)
+        .env("FOLDER", folder)
+        // A signal to the group of this program must not end the guard as well.
+        .process_group(0)
         .stdin(Stdio::null())
         .stdout(Stdio::null())
         .stderr(Stdio::null())
@@ -162,7 +166,7 @@
         if let Ok(mut running) = RUNNING.lock() {
             running.push(child.id());
         }
-        let guard = start_guard(child.id())?;
+        let guard = start_guard(child.id(), folder)?;
         let mut router = Router {
             address,
             config,
