--- a/crates/router/src/framing.rs
+++ b/crates/router/src/framing.rs
@@ -21,6 +21,21 @@
     line: Vec<u8>,
     head: Head,
     ambiguous: bool,
+    /// Number of heads that have arrived.
+    heads: u64,
+    /// Number of bytes that have arrived.
+    bytes: u64,
+    /// The position after the last complete message.
+    last_end: MessageEnd,
+}
+
+/// A position between two messages.
+#[derive(Clone, Copy, Default)]
+struct MessageEnd {
+    /// Number of bytes before it.
+    bytes: u64,
+    /// Number of heads before it.
+    heads: u64,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -78,6 +93,9 @@
             line: Vec::new(),
             head: Head::default(),
             ambiguous: false,
+            heads: 0,
+            bytes: 0,
+            last_end: MessageEnd::default(),
         }
     }
 
@@ -86,12 +104,19 @@
         let mut rest = bytes;
         while !rest.is_empty() {
             rest = match self.position {
-                Position::LastMessage | Position::Invalid => return,
+                Position::LastMessage | Position::Invalid => break,
                 Position::Body { bytes_left } => self.push_body(bytes_left, rest),
                 Position::Chunk { bytes_left } => self.push_chunk(bytes_left, rest),
                 Position::Head | Position::ChunkSize | Position::Trailer => self.push_line(rest),
             };
+            if self.is_between_messages() {
+                self.last_end = MessageEnd {
+                    bytes: self.bytes + (bytes.len() - rest.len()) as u64,
+                    heads: self.heads,
+                };
+            }
         }
+        self.bytes += bytes.len() as u64;
     }
 
     /// Skips the bytes that belong to the body, and returns the bytes after it.
@@ -156,6 +181,7 @@
             return;
         };
         let head = std::mem::take(&mut self.head);
+        self.heads += 1;
         self.ambiguous |= head.has_transfer_encoding && head.content_length.is_some();
         self.position = match self.kind {
             MessageKind::Request => head.position_after_request_head(),
@@ -168,6 +194,35 @@
         self.position == Position::Head && self.head.status.is_none() && self.line.is_empty()
     }
 
+    /// Returns the number of heads that have arrived.
+    pub(crate) fn heads(&self) -> u64 {
+        self.heads
+    }
+
+    /// Returns the number of heads before the end of the last complete message.
+    pub(crate) fn heads_at_last_end(&self) -> u64 {
+        self.last_end.heads
+    }
+
+    /// Returns the number of bytes that have arrived since the end of the last complete message.
+    pub(crate) fn bytes_since_last_end(&self) -> u64 {
+        self.bytes - self.last_end.bytes
+    }
+
+    /// Returns the number of bytes of the current body that have not arrived yet; `None` if no body
+    /// with a content length is arriving.
+    pub(crate) fn body_bytes_left(&self) -> Option<u64> {
+        match self.position {
+            Position::Body { bytes_left } => Some(bytes_left),
+            _ => None,
+        }
+    }
+
+    /// Returns whether a part of a message has arrived whose end is tracked, but not all of it.
+    pub(crate) fn is_in_message(&self) -> bool {
+        !self.is_between_messages() && !self.is_last_message() && !self.is_invalid()
+    }
+
     /// Returns whether the next byte belongs to a head.
     pub(crate) fn expects_head(&self) -> bool {
         self.position == Position::Head
--- a/crates/router/src/frontend/body.rs
+++ b/crates/router/src/frontend/body.rs
@@ -14,6 +14,7 @@
 use tokio::time::{timeout, timeout_at, Instant};
 
 use super::byte_budget::{ByteBudget, ByteReservation};
+use super::connections::RequestTracker;
 use crate::shutdown::{self, Phase};
 
 /// Number of compressed bytes that are decompressed before the byte reservation is extended. The
@@ -86,6 +87,8 @@
     pub(super) has_ambiguous_length: bool,
     /// Whether the client waits for `100 Continue` before it sends the body.
     pub(super) expects_continue: bool,
+    /// The tracker of the connection's requests.
+    pub(super) request_tracker: RequestTracker,
 }
 
 impl RequestBody {
@@ -137,7 +140,12 @@
         if result.is_err() && is_arriving {
             tokio::task::spawn_local(drain(body));
         }
-        result
+        let (bytes, reservation) = result?;
+        if self.request_tracker.finish_body() {
+            Ok((bytes, reservation))
+        } else {
+            Err(BodyError::BudgetExhausted)
+        }
     }
 }
 
--- a/crates/router/src/frontend/client_stream.rs
+++ b/crates/router/src/frontend/client_stream.rs
@@ -7,28 +7,42 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 
-use bytes::{Buf, BytesMut};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::time::Instant;
+use tokio::time::{sleep, Instant};
 
 use super::connection_state::{Activity, ConnectionState};
+use super::pipeline::Delivery;
 use crate::socket::Socket;
 
-/// Maximum number of bytes that are read ahead and discarded. Without discarding, the disconnect of
-/// a client that has sent more than can be buffered would not be detected.
-const DISCARD_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 /// Maximum number of bytes that one read takes from the stream while reading ahead.
-const READ_AHEAD_CHUNK_BYTES: usize = 2 * 1024;
+const READ_AHEAD_CHUNK_BYTES: usize = 16 * 1024;
+/// Maximum number of bytes that are discarded between two pauses. With [`DISCARD_PAUSE`], it bounds
+/// the processor time that a client can take by sending without end. What the systems of both sides
+/// can buffer, about 10 MiB, is discarded in less than 50 ms, and a disconnect behind it is
+/// detected then.
+const DISCARD_BURST_BYTES: usize = 1024 * 1024;
+/// Pause between two bursts of discarded bytes.
+const DISCARD_PAUSE: Duration = Duration::from_millis(2);
 
 /// A reader that reads ahead while a request is being answered, to detect a client's disconnect.
 /// The HTTP library stops reading once it has received bytes of a further request, and would see
-/// the end of the stream only after the response is complete.
+/// the end of the stream only after the response is complete. While a request's body arrives, the
+/// library reads itself.
 pub(crate) struct ReadAhead {
     stream: Rc<RefCell<Socket>>,
     state: Rc<ConnectionState>,
 }
 
+/// The reason why reading ahead stopped.
+enum ReadAheadEnd {
+    /// The client has disconnected.
+    Disconnected,
+    /// Reading ahead pauses after a burst of discarded bytes.
+    BurstDiscarded,
+}
+
 impl ReadAhead {
     /// Creates a reader that reads ahead on `stream`.
     pub(super) fn new(stream: Rc<RefCell<Socket>>, state: Rc<ConnectionState>) -> ReadAhead {
@@ -39,41 +53,42 @@
     /// polled in the same task as the [`TrackedStream`] and after it, because the socket wakes only
     /// the waker of the last poll.
     pub(crate) async fn client_disconnected(&self) {
-        poll_fn(|cx| self.poll_disconnected(cx)).await;
+        loop {
+            let mut burst_bytes = 0;
+            match poll_fn(|cx| self.poll_read_ahead(cx, &mut burst_bytes)).await {
+                ReadAheadEnd::Disconnected => return,
+                ReadAheadEnd::BurstDiscarded => sleep(DISCARD_PAUSE).await,
+            }
+        }
     }
 
-    fn poll_disconnected(&self, cx: &mut Context<'_>) -> Poll<()> {
+    /// Reads ahead. `burst_bytes` counts the bytes that are discarded.
+    fn poll_read_ahead(&self, cx: &mut Context<'_>, burst_bytes: &mut usize) -> Poll<ReadAheadEnd> {
         let mut chunk = [0; READ_AHEAD_CHUNK_BYTES];
-        while self.may_read_ahead() {
+        while matches!(
+            self.state.activity.get(),
+            Activity::ReceivingBody | Activity::Answering
+        ) {
             let mut read = ReadBuf::new(&mut chunk);
             let has_failed =
                 ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, &mut read)).is_err();
             if has_failed || read.filled().is_empty() {
-                return Poll::Ready(());
+                return Poll::Ready(ReadAheadEnd::Disconnected);
+            }
+            self.state.read_ahead(read.filled());
+            if !self.state.pipeline().has_overflowed() {
+                // The HTTP library was polled before these bytes were buffered, so it is polled
+                // again.
+                cx.waker().wake_by_ref();
+                continue;
+            }
+            *burst_bytes += read.filled().len();
+            if *burst_bytes >= DISCARD_BURST_BYTES {
+                return Poll::Ready(ReadAheadEnd::BurstDiscarded);
             }
-            self.buffer_or_discard(read.filled());
-            // The HTTP library was polled before these bytes were buffered, so it is polled again.
-            cx.waker().wake_by_ref();
         }
         Poll::Pending
     }
-
-    fn may_read_ahead(&self) -> bool {
-        let is_answering = matches!(self.state.activity.get(), Activity::Answering);
-        is_answering && self.state.discarded.get() < DISCARD_LIMIT_BYTES
-    }
-
-    /// Buffers bytes of the next request, which a client may send as soon as it has received the
-    /// last event of a response. Bytes that exceed the limits are discarded; from then on nothing
-    /// more is buffered, and the connection is closed after the current request.
-    fn buffer_or_discard(&self, bytes: &[u8]) {
-        let discarded = &self.state.discarded;
-        if discarded.get() == 0 && self.state.reserve_read_ahead(bytes.len()) {
-            self.state.read_ahead.borrow_mut().extend_from_slice(bytes);
-        } else {
-            discarded.set(discarded.get() + bytes.len());
-        }
-    }
 }
 
 /// A client's stream that keeps the connection's state up to date.
@@ -88,26 +103,44 @@
         TrackedStream { stream, state }
     }
 
-    /// Reads the bytes that were read ahead, then from the stream. If bytes were discarded, reports
-    /// the end of the stream in their place.
+    /// Reads the bytes that were read ahead, then from the stream.
     fn poll_next_bytes(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let mut read_ahead = self.state.read_ahead.borrow_mut();
-        if read_ahead.is_empty() && self.state.discarded.get() > 0 {
-            return Poll::Ready(Ok(()));
-        }
-        if read_ahead.is_empty() {
-            return Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf);
-        }
-        let length = read_ahead.len().min(buf.remaining());
-        buf.put_slice(&read_ahead[..length]);
-        read_ahead.advance(length);
-        self.state.release_read_ahead(length);
-        if read_ahead.is_empty() {
-            // Frees the buffer, so that an idle connection holds none.
-            *read_ahead = BytesMut::new();
+        loop {
+            match self.state.deliver(cx, buf) {
+                Delivery::Copied | Delivery::End => return Poll::Ready(Ok(())),
+                Delivery::AfterResponse => return Poll::Pending,
+                Delivery::Socket => return self.poll_read_directly(cx, buf),
+                Delivery::DiscardFromSocket => {
+                    if ready!(self.poll_discard(cx))? == 0 {
+                        return Poll::Ready(Ok(()));
+                    }
+                }
+            }
         }
+    }
+
+    fn poll_read_directly(
+        &self,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf))?;
+        let bytes = &buf.filled()[before..];
+        self.state
+            .update_pipeline(|pipeline| pipeline.read_directly(bytes));
         Poll::Ready(Ok(()))
     }
+
+    /// Reads once and discards the bytes. Returns their number, which is 0 at the end of the
+    /// stream.
+    fn poll_discard(&self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let mut chunk = [0; READ_AHEAD_CHUNK_BYTES];
+        let mut read = ReadBuf::new(&mut chunk);
+        ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, &mut read))?;
+        self.state.read_ahead(read.filled());
+        Poll::Ready(Ok(read.filled().len()))
+    }
 }
 
 impl AsyncRead for TrackedStream {
@@ -116,11 +149,9 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
         let read = self.poll_next_bytes(cx, buf);
-        let mut framing = self.state.framing.borrow_mut();
-        framing.push(&buf.filled()[before..]);
-        if matches!(self.state.activity.get(), Activity::Idle(_)) && !framing.is_between_messages()
+        if matches!(self.state.activity.get(), Activity::Idle(_))
+            && self.state.pipeline().is_receiving()
         {
             self.state.activity.set(Activity::Receiving(Instant::now()));
         }
--- a/crates/router/src/frontend/connection_server.rs
+++ b/crates/router/src/frontend/connection_server.rs
@@ -5,23 +5,23 @@
 use std::future::{poll_fn, Future};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::Poll;
 
 use http::header::{CONNECTION, EXPECT};
 use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
+use hyper::service::Service;
 use hyper_util::rt::TokioIo;
-use hyper_util::service::TowerToHyperService;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tower::Service;
 
-use super::body::RequestBody;
+use super::body::{BodyError, RequestBody};
 use super::client_stream::{ReadAhead, TrackedStream};
 use super::connection_state::READ_BUFFER_LIMIT;
-use super::connections::{ClientConnection, RequestTracker};
-use super::response_body::GuardedBody;
+use super::connections::{ClientConnection, RequestGuard, RequestTracker};
+use super::pipeline::Admission;
+use super::response_body::{GuardedBody, ResponseBody};
 use super::Frontend;
 use crate::shutdown::{self, Phase};
 use crate::socket::Socket;
@@ -92,7 +92,7 @@
     let serving = http1::Builder::new()
         .header_read_timeout(None)
         .max_buf_size(READ_BUFFER_LIMIT)
-        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service));
+        .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(serving);
     tokio::select! {
         biased;
@@ -125,7 +125,7 @@
     .await
 }
 
-/// A tower service that serves a frontend on one connection.
+/// A service that serves a frontend on one connection.
 #[derive(Clone)]
 struct ConnectionService<F> {
     frontend: F,
@@ -134,8 +134,32 @@
 }
 
 impl<F: Frontend> ConnectionService<F> {
-    async fn respond(self, request: Request<Incoming>) -> Response<GuardedBody> {
-        let guard = self.request_tracker.begin();
+    async fn respond(
+        self,
+        request: Request<Incoming>,
+        guard: RequestGuard,
+    ) -> Response<GuardedBody> {
+        let mut response = match guard.admission() {
+            Admission::Served => self.serve(request, &guard).await,
+            Admission::Rejected => self.reject(),
+        };
+        self.set_connection_header(&mut response);
+        response.map(|body| GuardedBody::new(body, guard))
+    }
+
+    /// Rejects a request that was discarded. Nothing of it is left to be read, so that the
+    /// connection may stay open.
+    fn reject(&self) -> Response<ResponseBody> {
+        let mut response = self.frontend.reject(BodyError::BudgetExhausted);
+        response.headers_mut().remove(CONNECTION);
+        response
+    }
+
+    async fn serve(
+        &self,
+        request: Request<Incoming>,
+        guard: &RequestGuard,
+    ) -> Response<ResponseBody> {
         let expects_continue = request.headers().contains_key(EXPECT);
         let request = request.map(|body| RequestBody {
             body,
@@ -143,16 +167,22 @@
             deadline: guard.body_deadline(),
             has_ambiguous_length: self.request_tracker.has_ambiguous_length(),
             expects_continue,
+            request_tracker: self.request_tracker.clone(),
         });
-        let mut response = self.frontend.respond(request).await;
-        // `Connection: close` makes the client send its next request on another connection, and
-        // this one need not be closed later.
+        self.frontend.clone().respond(request).await
+    }
+
+    /// Sets `Connection: close` if the response is the last one on the connection. It makes the
+    /// client send its next request on another connection, and this one need not be closed later.
+    /// No response says so whose client is owed further responses.
+    fn set_connection_header(&self, response: &mut Response<ResponseBody>) {
         if self.phase.borrow().is_shutting_down() || self.request_tracker.is_last_request() {
             response
                 .headers_mut()
                 .insert(CONNECTION, HeaderValue::from_static("close"));
+        } else if self.request_tracker.owes_responses() {
+            response.headers_mut().remove(CONNECTION);
         }
-        response.map(|body| GuardedBody::new(body, guard))
     }
 }
 
@@ -161,12 +191,11 @@
     type Error = Infallible;
     type Future = Pin<Box<dyn Future<Output = Result<Response<GuardedBody>, Infallible>>>>;
 
-    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn call(&mut self, request: Request<Incoming>) -> Self::Future {
-        let response = self.clone().respond(request);
+    fn call(&self, request: Request<Incoming>) -> Self::Future {
+        // The request begins here and not when the response is first polled: the HTTP library may
+        // read on before that.
+        let guard = self.request_tracker.begin();
+        let response = self.clone().respond(request, guard);
         Box::pin(async move { Ok(response.await) })
     }
 }
--- a/crates/router/src/frontend/connection_state.rs
+++ b/crates/router/src/frontend/connection_state.rs
@@ -1,15 +1,16 @@
-//! The state of one client connection: its activity, the bytes that were read ahead, and when it
-//! must be closed. The connection's stream, its requests and the connection limiter share it.
+//! The state of one client connection: its activity, the requests that were read from it, and when
+//! it must be closed. The connection's stream, its requests and the connection limiter share it.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, Ref, RefCell};
 use std::rc::Rc;
+use std::task::{Context, Waker};
 use std::time::Duration;
 
-use bytes::BytesMut;
+use tokio::io::ReadBuf;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::framing::Framing;
+use super::pipeline::{Delivery, Pipeline, Progress};
 
 /// Maximum time until the head of a request has arrived, from the start of the connection for its
 /// first request and from the request's first byte for later ones.
@@ -61,7 +62,9 @@
 pub(super) enum Activity {
     /// Since this instant, the connection waits for its first request, or receives a request head.
     Receiving(Instant),
-    /// A request is being answered.
+    /// The head of a request has arrived, and the HTTP library reads its body.
+    ReceivingBody,
+    /// A request has arrived and is being answered.
     Answering,
     /// All requests have been answered, the last one at this instant.
     Idle(Instant),
@@ -76,13 +79,10 @@
     pub(super) activity: Cell<Activity>,
     /// When writing to the client last became blocked; `None` if it is not blocked.
     pub(super) blocked_since: Cell<Option<Instant>>,
-    /// The parser that finds where requests begin and end among the bytes that were read.
-    pub(super) framing: RefCell<Framing>,
-    /// Bytes that were read ahead and not yet read by the HTTP library.
-    pub(super) read_ahead: RefCell<BytesMut>,
-    /// Number of bytes that were read ahead and discarded. If there are any, the connection cannot
-    /// serve another request after the current one.
-    pub(super) discarded: Cell<usize>,
+    pipeline: RefCell<Pipeline>,
+    /// The waker of the connection's task, if the HTTP library waits for the end of a response
+    /// before it reads on.
+    read_waker: Cell<Option<Waker>>,
     close: Notify,
 }
 
@@ -94,9 +94,8 @@
             read_ahead_total,
             activity: Cell::new(Activity::Receiving(Instant::now())),
             blocked_since: Cell::default(),
-            framing: RefCell::new(Framing::of_requests()),
-            read_ahead: RefCell::default(),
-            discarded: Cell::default(),
+            pipeline: RefCell::default(),
+            read_waker: Cell::default(),
             close: Notify::new(),
         }
     }
@@ -112,37 +111,85 @@
     pub(super) fn expires_at(&self) -> Option<Instant> {
         match (self.activity.get(), self.blocked_since.get()) {
             (_, Some(since)) => Some(since + self.limits.unread_timeout),
-            (Activity::Answering, None) => None,
+            (Activity::ReceivingBody | Activity::Answering, None) => None,
             (Activity::Receiving(since), None) => Some(since + HEAD_TIMEOUT),
             (Activity::Idle(since), None) => Some(since + IDLE_TIMEOUT),
         }
     }
 
-    /// Reserves space for `length` more bytes that were read ahead. Returns whether this connection
-    /// then buffers at most the size of a request, and all connections together at most their
-    /// limit; otherwise, nothing is reserved.
-    pub(super) fn reserve_read_ahead(&self, length: usize) -> bool {
+    /// Returns the requests that were read from the connection.
+    pub(super) fn pipeline(&self) -> Ref<'_, Pipeline> {
+        self.pipeline.borrow()
+    }
+
+    /// Changes the pipeline, and keeps the number of bytes up to date that all connections buffer.
+    pub(super) fn update_pipeline<T>(&self, update: impl FnOnce(&mut Pipeline) -> T) -> T {
+        let mut pipeline = self.pipeline.borrow_mut();
+        let before = pipeline.buffered_bytes();
+        let result = update(&mut pipeline);
+        let others = self.read_ahead_total.get() - before;
+        self.read_ahead_total
+            .set(others + pipeline.buffered_bytes());
+        result
+    }
+
+    /// Records bytes that were read ahead: buffers them, or discards them if they exceed a limit or
+    /// bytes were discarded before.
+    pub(super) fn read_ahead(&self, bytes: &[u8]) {
+        let fits = self.fits_read_ahead(bytes.len());
+        self.update_pipeline(|pipeline| {
+            if fits && !pipeline.has_overflowed() {
+                pipeline.buffer(bytes);
+            } else {
+                pipeline.discard(bytes);
+            }
+        });
+    }
+
+    /// Returns whether `length` more bytes can be buffered. A request head always can, as the HTTP
+    /// library may have read a part of it and then has to read the rest.
+    fn fits_read_ahead(&self, length: usize) -> bool {
         let connection_limit = self.limits.max_body_bytes + 2 * READ_BUFFER_LIMIT;
-        let connection_bytes = self.read_ahead.borrow().len() + length;
+        let connection_bytes = self.pipeline().buffered_bytes() + length;
         let total_bytes = self.read_ahead_total.get() + length;
-        let fits = connection_bytes <= connection_limit && total_bytes <= READ_AHEAD_TOTAL_LIMIT;
-        if fits {
-            self.read_ahead_total.set(total_bytes);
+        connection_bytes <= READ_BUFFER_LIMIT
+            || (connection_bytes <= connection_limit && total_bytes <= READ_AHEAD_TOTAL_LIMIT)
+    }
+
+    /// Delivers the next bytes to the HTTP library. If it has to wait for the end of the current
+    /// response, its task is woken then.
+    pub(super) fn deliver(&self, cx: &Context<'_>, buf: &mut ReadBuf<'_>) -> Delivery {
+        let progress = match self.activity.get() {
+            Activity::Receiving(_) | Activity::Idle(_) => Progress::NotBegun,
+            Activity::ReceivingBody => Progress::ReceivingBody,
+            Activity::Answering => Progress::Answering,
+        };
+        let delivery = self.update_pipeline(|pipeline| pipeline.deliver(buf, progress));
+        if delivery == Delivery::AfterResponse {
+            self.read_waker.set(Some(cx.waker().clone()));
         }
-        fits
+        delivery
     }
 
-    /// Releases the space of `length` bytes that were read ahead.
-    pub(super) fn release_read_ahead(&self, length: usize) {
-        self.read_ahead_total
-            .set(self.read_ahead_total.get() - length);
+    /// Records that a response is complete or its request was given up.
+    pub(super) fn finish_response(&self) {
+        let now = Instant::now();
+        let activity = if self.pipeline().is_receiving() {
+            Activity::Receiving(now)
+        } else {
+            Activity::Idle(now)
+        };
+        self.activity.set(activity);
+        if let Some(waker) = self.read_waker.take() {
+            waker.wake();
+        }
     }
 
     /// Returns the idle time by which connections are ranked for eviction, or `None` if this one
     /// must not be evicted.
     pub(super) fn eviction_idle_time(&self, now: Instant) -> Option<Duration> {
         let (since, bias) = match self.activity.get() {
-            Activity::Answering => return None,
+            Activity::ReceivingBody | Activity::Answering => return None,
             Activity::Receiving(since) => (since, NO_REQUEST_IDLE_BIAS),
             Activity::Idle(since) => (since, Duration::ZERO),
         };
@@ -163,3 +210,9 @@
         self.close.notified().await;
     }
 }
+
+impl Drop for ConnectionState {
+    fn drop(&mut self) {
+        self.update_pipeline(|pipeline| *pipeline = Pipeline::default());
+    }
+}
--- a/crates/router/src/frontend/connections.rs
+++ b/crates/router/src/frontend/connections.rs
@@ -16,6 +16,7 @@
 
 use super::client_stream::{ReadAhead, TrackedStream};
 use super::connection_state::{Activity, ClientLimits, ConnectionState};
+use super::pipeline::{Admission, Pipeline};
 use crate::closing::{discard_received, shut_down_and_discard};
 use crate::socket::Socket;
 
@@ -118,8 +119,6 @@
             .connections
             .borrow_mut()
             .remove(&self.connection_id);
-        let buffered = self.state.read_ahead.borrow().len();
-        self.state.release_read_ahead(buffered);
     }
 }
 
@@ -150,21 +149,19 @@
     /// all earlier responses have been written.
     pub(crate) fn is_receiving_head(&self) -> bool {
         matches!(self.state.activity.get(), Activity::Receiving(_))
-            && self.state.framing.borrow().expects_head()
+            && self.state.pipeline().expects_head()
             && self.state.blocked_since.get().is_none()
     }
 
     /// Returns whether all requests on the connection have been answered, and nothing of a further
     /// one has been read.
     pub(crate) fn is_idle(&self) -> bool {
-        matches!(self.state.activity.get(), Activity::Idle(_))
-            && self.state.read_ahead.borrow().is_empty()
+        matches!(self.state.activity.get(), Activity::Idle(_)) && self.state.pipeline().is_idle()
     }
 
     /// Returns whether bytes of a new request have arrived and none of them has been read yet.
     pub(crate) fn has_unread_request(&self, stream: &RefCell<Socket>) -> bool {
-        let between_requests = self.state.framing.borrow().is_between_messages()
-            && self.state.read_ahead.borrow().is_empty();
+        let between_requests = self.state.pipeline().is_idle();
         let is_write_blocked = self.state.blocked_since.get().is_some();
         between_requests && !is_write_blocked && stream.borrow().has_received()
     }
@@ -188,35 +185,54 @@
     /// Records that the head of a request has arrived. The request counts as being answered until
     /// the guard is dropped.
     pub(crate) fn begin(&self) -> RequestGuard {
-        let since = match self.0.activity.replace(Activity::Answering) {
+        let since = match self.0.activity.replace(Activity::ReceivingBody) {
             Activity::Receiving(since) => since,
-            Activity::Answering | Activity::Idle(_) => Instant::now(),
+            Activity::ReceivingBody | Activity::Answering | Activity::Idle(_) => Instant::now(),
         };
         RequestGuard {
+            admission: self.0.update_pipeline(Pipeline::begin_request),
             state: self.0.clone(),
             body_deadline: since + self.0.limits().request_timeout,
         }
     }
 
+    /// Records that the HTTP library has read the whole body of the current request. Returns
+    /// whether the body is as the client sent it: a part of it may have been discarded.
+    pub(crate) fn finish_body(&self) -> bool {
+        self.0.activity.set(Activity::Answering);
+        !self.0.pipeline().is_body_incomplete()
+    }
+
     /// Returns whether the connection has received a request with an ambiguous end, with both
     /// `Content-Length` and `Transfer-Encoding`.
     pub(crate) fn has_ambiguous_length(&self) -> bool {
-        self.0.framing.borrow().has_ambiguous_length()
+        self.0.pipeline().has_ambiguous_length()
+    }
+
+    /// Returns whether requests have been read behind the current one.
+    pub(crate) fn owes_responses(&self) -> bool {
+        self.0.pipeline().owes_responses()
     }
 
     /// Returns whether the connection must be closed after the current request.
     pub(crate) fn is_last_request(&self) -> bool {
-        self.0.framing.borrow().is_last_message() || self.0.discarded.get() > 0
+        self.0.pipeline().is_last_request()
     }
 }
 
 /// A guard for a request that is being answered. Dropping it records that the request has ended.
 pub(crate) struct RequestGuard {
     state: Rc<ConnectionState>,
+    admission: Admission,
     body_deadline: Instant,
 }
 
 impl RequestGuard {
+    /// Returns how the request is answered.
+    pub(crate) fn admission(&self) -> Admission {
+        self.admission
+    }
+
     /// Returns when the whole request must have arrived.
     pub(crate) fn body_deadline(&self) -> Instant {
         self.body_deadline
@@ -225,13 +241,6 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        let now = Instant::now();
-        let between_requests = self.state.framing.borrow().is_between_messages();
-        let activity = if between_requests {
-            Activity::Idle(now)
-        } else {
-            Activity::Receiving(now)
-        };
-        self.state.activity.set(activity);
+        self.state.finish_response();
     }
 }
--- a/crates/router/src/frontend/inference/service.rs
+++ b/crates/router/src/frontend/inference/service.rs
@@ -25,7 +25,7 @@
 use crate::core::Handle;
 use crate::frontend::byte_budget::ByteBudget;
 use crate::frontend::response::set_retry_after;
-use crate::frontend::{ClientLimits, Frontend, RequestBody, ResponseBody};
+use crate::frontend::{BodyError, ClientLimits, Frontend, RequestBody, ResponseBody};
 use crate::shutdown::Phase;
 use crate::tenants::{KeyOwner, Tenants};
 
@@ -138,6 +138,10 @@
         }
     }
 
+    fn reject(&self, reason: BodyError) -> Response<ResponseBody> {
+        self.0.error_response(&RequestError::Body(reason))
+    }
+
     async fn respond(self, request: Request<RequestBody>) -> Response<ResponseBody> {
         let service = self.0;
         let (head, body) = request.into_parts();
--- a/crates/router/src/frontend/mod.rs
+++ b/crates/router/src/frontend/mod.rs
@@ -13,6 +13,7 @@
 mod connections;
 mod headers;
 pub mod inference;
+mod pipeline;
 pub mod platform;
 mod readiness;
 mod request_id;
@@ -37,6 +38,9 @@
         ClientLimits::default()
     }
 
+    /// Returns the response to a request that is rejected for `reason` before it is decoded.
+    fn reject(&self, reason: BodyError) -> Response<ResponseBody>;
+
     /// Responds to a request.
     fn respond(self, request: Request<RequestBody>)
         -> impl Future<Output = Response<ResponseBody>>;
--- a/crates/router/src/frontend/platform.rs
+++ b/crates/router/src/frontend/platform.rs
@@ -100,6 +100,10 @@
 }
 
 impl Frontend for Platform {
+    fn reject(&self, reason: BodyError) -> Response<ResponseBody> {
+        RequestError::Body(reason).into_response()
+    }
+
     async fn respond(self, request: Request<RequestBody>) -> Response<ResponseBody> {
         match (request.method(), request.uri().path()) {
             (&Method::GET, READINESS_PATH) => self.readiness_response(),
