Do not read ahead while a request's body arrives

Cause: the request counts as being answered from its head on, so ReadAhead took bytes of its body, and beyond 8 MiB for all connections discarded them. Change: reading ahead begins when the body is complete. Test: inference_limits.rs, large_bodies_that_arrive_at_the_same_time_are_all_served: 503 without the change, passes with it.

--- a/crates/router/src/frontend/client_stream.rs
+++ b/crates/router/src/frontend/client_stream.rs
@@ -65,10 +65,7 @@
     /// Reads ahead. `burst_bytes` counts the bytes that are discarded.
     fn poll_read_ahead(&self, cx: &mut Context<'_>, burst_bytes: &mut usize) -> Poll<ReadAheadEnd> {
         let mut chunk = [0; READ_AHEAD_CHUNK_BYTES];
-        while matches!(
-            self.state.activity.get(),
-            Activity::ReceivingBody | Activity::Answering
-        ) {
+        while matches!(self.state.activity.get(), Activity::Answering) {
             let mut read = ReadBuf::new(&mut chunk);
             let has_failed =
                 ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, &mut read)).is_err();
--- a/crates/router/tests/inference_limits.rs
+++ b/crates/router/tests/inference_limits.rs
@@ -343,3 +343,35 @@
         );
     });
 }
+
+/// Guards against valid bodies that are rejected: bytes of a body that arrives were read ahead as
+/// if they belonged to further requests, and discarded beyond the limit for all connections.
+#[test]
+fn large_bodies_that_arrive_at_the_same_time_are_all_served() {
+    const CLIENTS: usize = 6;
+    const BODY_TEXT_BYTES: usize = 3_000_000;
+    run_test(async {
+        let server = FakeServer::start(8, Behaviour::Answer).await;
+        let router = start_router(&[&server], &[]).await;
+        let text = "x".repeat(BODY_TEXT_BYTES);
+        let body = format!(r#"{{"model":"m","messages":[{{"role":"user","content":"{text}"}}]}}"#);
+        let length = body.len();
+        let head = format!(
+            "POST {CHAT} HTTP/1.1\r\nhost: app\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n"
+        );
+        let mut clients = Vec::new();
+        for _ in 0..CLIENTS {
+            let mut client = RawClient::connect(router.inference).await;
+            let parts = [head.clone(), body.clone()];
+            clients.push(spawn_local(async move {
+                client
+                    .exchange(&parts.each_ref().map(|part| part.as_bytes()))
+                    .await
+            }));
+        }
+        for client in clients {
+            let response = client.await.unwrap();
+            assert!(response.starts_with("HTTP/1.1 200 "), "{response:.200}");
+        }
+    });
+}
