--- a/crates/inference-api/src/batch.rs
+++ b/crates/inference-api/src/batch.rs
@@ -13,7 +13,7 @@
 use crate::body_limits::BodyLimits;
 use crate::error::ApiError;
 use crate::estimate_tokens;
-use crate::fields::{json_string, push_field, FieldReader, Fields};
+use crate::fields::{json_string, push_field, FieldReader, Fields, Text};
 
 /// Maximum value of `dimensions`.
 const MAX_DIMENSIONS: u64 = 65_536;
@@ -123,7 +123,8 @@
         // The router itself applies `top_n` and `return_documents` when all slices have been
         // served.
         let excluded = [form.items_field(), "model", "top_n", "return_documents"];
-        let shared_fields = fields.encode_without(&excluded);
+        let mut shared_fields = String::new();
+        fields.encode_without(&excluded, &mut shared_fields);
         let items = raw_items
             .iter()
             .map(|raw| byte_range_in(&body, raw))
@@ -285,7 +286,7 @@
 #[derive(Deserialize)]
 struct Document<'a> {
     #[serde(borrow)]
-    text: Cow<'a, str>,
+    text: Text<'a>,
 }
 
 /// Returns the number of tokens of an item, or `None` if it is invalid. An empty string is invalid
@@ -294,7 +295,7 @@
     let text = raw.get();
     match (text.as_bytes()[0], form) {
         (b'"', _) => {
-            let text: Cow<str> = serde_json::from_str(text).ok()?;
+            let Text(text) = serde_json::from_str(text).ok()?;
             if form == BatchForm::Embeddings && text.is_empty() {
                 return None;
             }
@@ -302,7 +303,7 @@
         }
         (b'{', BatchForm::RerankV1) => {
             let document: Document = serde_json::from_str(text).ok()?;
-            Some(estimate_tokens(&document.text).max(1))
+            Some(estimate_tokens(&document.text.0).max(1))
         }
         (b'[', BatchForm::Embeddings) => {
             let TokenIdCount(count) = serde_json::from_str(text).ok()?;
--- a/crates/inference-api/src/chat.rs
+++ b/crates/inference-api/src/chat.rs
@@ -1,15 +1,14 @@
 //! Chat completion requests.
 
-use std::borrow::Cow;
-
 use bytes::Bytes;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
 use crate::body_limits::BodyLimits;
+use crate::bounded_list::{visit_items, ListLength};
 use crate::error::ApiError;
 use crate::estimate_tokens;
-use crate::fields::{json_string, push_field, FieldReader, Fields};
+use crate::fields::{json_string, push_field, FieldReader, Fields, Text};
 
 /// The fields of a chat request that the router uses.
 #[derive(Debug, Clone, PartialEq)]
@@ -44,20 +43,24 @@
 
 #[derive(Deserialize)]
 struct Message<'a> {
-    role: Option<Cow<'a, str>>,
+    #[serde(borrow)]
+    role: Option<Text<'a>>,
     #[serde(borrow)]
     content: Option<&'a RawValue>,
     #[serde(borrow)]
     tool_calls: Option<&'a RawValue>,
     #[serde(borrow)]
     function_call: Option<&'a RawValue>,
-    tool_call_id: Option<Cow<'a, str>>,
+    #[serde(borrow)]
+    tool_call_id: Option<Text<'a>>,
 }
 
 #[derive(Deserialize)]
 struct ContentPart<'a> {
-    r#type: Option<Cow<'a, str>>,
-    text: Option<Cow<'a, str>>,
+    #[serde(borrow)]
+    r#type: Option<Text<'a>>,
+    #[serde(borrow)]
+    text: Option<Text<'a>>,
 }
 
 #[derive(Deserialize)]
@@ -121,13 +124,15 @@
         if !self.stream {
             excluded.extend(["stream", "stream_options"]);
         }
-        let mut text = fields.encode_without(&excluded);
+        let mut text = "{".to_owned();
+        fields.encode_without(&excluded, &mut text);
         push_field(&mut text, "model", &json_string(model));
         if !self.stream {
             text.push_str(r#""stream":true,"stream_options":{"include_usage":true},"#);
         }
         text.pop();
-        Ok(format!("{{{text}}}").into())
+        text.push('}');
+        Ok(text.into())
     }
 }
 
@@ -148,7 +153,7 @@
     for (index, raw) in messages.into_iter().enumerate() {
         let param = format!("messages[{index}]");
         match serde_json::from_str::<Message>(raw.get()) {
-            Ok(message) => tokens += read_message(reader, &param, &message),
+            Ok(message) => tokens += read_message(reader, &param, &message, limits),
             Err(_) => reader.add_error(param, "must be an object with a role and a content"),
         }
     }
@@ -156,8 +161,13 @@
 }
 
 /// Checks a message and estimates the number of its tokens.
-fn read_message(reader: &mut FieldReader, param: &str, message: &Message) -> u64 {
-    let role = message.role.as_deref();
+fn read_message(
+    reader: &mut FieldReader,
+    param: &str,
+    message: &Message,
+    limits: &BodyLimits,
+) -> u64 {
+    let role = message.role.as_ref().map(|Text(role)| &**role);
     if !role.is_some_and(|role| ROLES.contains(&role)) {
         reader.add_error(
             format!("{param}.role"),
@@ -171,13 +181,10 @@
         );
     }
     let calls = message.tool_calls.or(message.function_call);
-    let content_tokens = match message.content.map(count_content_tokens) {
-        Some(Some(tokens)) => tokens,
-        Some(None) => {
-            reader.add_error(
-                format!("{param}.content"),
-                "must be a text, or a list of parts that each have a type",
-            );
+    let content_tokens = match message.content.map(|raw| count_content_tokens(raw, limits)) {
+        Some(Ok(tokens)) => tokens,
+        Some(Err(error)) => {
+            reader.add_error(format!("{param}.content"), error.to_string());
             0
         }
         None => {
@@ -190,22 +197,38 @@
     content_tokens + calls.map_or(0, json_tokens)
 }
 
-/// Estimates the number of tokens of a message's content. Returns `None` if the content is invalid.
-fn count_content_tokens(raw: &RawValue) -> Option<u64> {
+/// Reason why the content of a message is invalid. Its text continues the name of the field.
+#[derive(Debug, thiserror::Error)]
+enum ContentError {
+    #[error("must be a text, or a list of parts that each have a type")]
+    Invalid,
+    #[error("{}", .0.error_message())]
+    TooManyParts(ListLength),
+}
+
+/// Estimates the number of tokens of a message's content.
+fn count_content_tokens(raw: &RawValue, limits: &BodyLimits) -> Result<u64, ContentError> {
     let text = raw.get();
     if text.starts_with('"') {
-        let content: Cow<str> = serde_json::from_str(text).ok()?;
-        return Some(estimate_tokens(&content));
+        let Text(content) = serde_json::from_str(text).map_err(|_| ContentError::Invalid)?;
+        return Ok(estimate_tokens(&content));
+    }
+    let mut tokens = Some(0);
+    let count =
+        |part: ContentPart| tokens = tokens.zip(count_part_tokens(&part)).map(|(a, b)| a + b);
+    let length = visit_items(raw, limits.items, count).map_err(|_| ContentError::Invalid)?;
+    if length.is_exceeded() {
+        return Err(ContentError::TooManyParts(length));
     }
-    let parts: Vec<ContentPart> = serde_json::from_str(text).ok()?;
-    parts.iter().map(count_part_tokens).sum()
+    tokens.ok_or(ContentError::Invalid)
 }
 
 fn count_part_tokens(part: &ContentPart) -> Option<u64> {
-    match (part.r#type.as_deref()?, &part.text) {
+    let Text(part_type) = part.r#type.as_ref()?;
+    match (&**part_type, &part.text) {
         ("text", None) => None,
         (_, None) => Some(0),
-        (_, Some(text)) => Some(estimate_tokens(text)),
+        (_, Some(Text(text))) => Some(estimate_tokens(text)),
     }
 }
 
@@ -256,9 +279,9 @@
     reader.boolean("logprobs");
     reader.integer("top_logprobs", 0..=20);
     reader.optional::<&RawValue>("stop", "a text or a list of at most 4 texts", |raw| {
-        let list = serde_json::from_str::<Vec<Cow<str>>>(raw.get());
         raw.get().starts_with('"')
-            || list.is_ok_and(|sequences| sequences.len() <= MAX_STOP_SEQUENCES)
+            || visit_items(raw, MAX_STOP_SEQUENCES, |_: Text| {})
+                .is_ok_and(|length| !length.is_exceeded())
     });
     reader.optional(
         "response_format",
--- a/crates/inference-api/src/chat/tests.rs
+++ b/crates/inference-api/src/chat/tests.rs
@@ -129,3 +129,62 @@
         );
     }
 }
+
+/// Guards against a request that takes the router over its memory: each list is limited before its
+/// items are decoded, however small they are.
+#[test]
+fn a_list_with_more_items_than_the_limit_is_rejected_in_each_place() {
+    let limits = BodyLimits {
+        items: 3,
+        ..BodyLimits::default()
+    };
+    let part = json!({"type": "text", "text": "x"});
+    let message = json!({"role": "user", "content": "x"});
+    let tool = json!({"type": "function", "function": {"name": "f"}});
+    let with_parts = |count: usize| json!([{"role": "user", "content": vec![&part; count]}]);
+    for (field, allowed, excess, param) in [
+        (
+            "messages",
+            with_parts(3),
+            with_parts(4),
+            "messages[0].content",
+        ),
+        (
+            "messages",
+            json!(vec![&message; 3]),
+            json!(vec![&message; 4]),
+            "messages",
+        ),
+        (
+            "tools",
+            json!(vec![&tool; 3]),
+            json!(vec![&tool; 4]),
+            "tools",
+        ),
+        (
+            "stop",
+            json!(["a", "b", "c", "d"]),
+            json!(vec!["a"; 1_000]),
+            "stop",
+        ),
+    ] {
+        let decode_with = |value: &Value| {
+            let mut body = chat_body();
+            body[field] = value.clone();
+            ChatRequest::decode(body.to_string().as_bytes(), &limits)
+        };
+        assert!(decode_with(&allowed).is_ok(), "{param}");
+        let error = decode_with(&excess).expect_err(param);
+        assert_eq!(error.param.as_deref(), Some(param));
+    }
+}
+
+/// Guards against an error response of several megabytes for a body with many invalid messages.
+#[test]
+fn an_error_names_a_limited_number_of_fields_and_has_a_limited_length() {
+    let mut body = chat_body();
+    body["messages"] = json!(vec![json!({"role": "x"}); 5_000]);
+    let error = decode(body).unwrap_err();
+    assert!(error.message.len() < 4_096, "{} bytes", error.message.len());
+    assert!(error.message.ends_with("and 9984 more") || error.message.ends_with("..."));
+}
--- a/crates/inference-api/src/error.rs
+++ b/crates/inference-api/src/error.rs
@@ -2,6 +2,9 @@
 
 use serde::Serialize;
 
+/// Maximum length in bytes of a message. A message may quote what a client has sent.
+const MAX_MESSAGE_BYTES: usize = 2_048;
+
 /// Kind of an error, which the API encodes as its `type`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub enum ErrorKind {
@@ -58,7 +61,7 @@
             kind: ErrorKind::InvalidRequest,
             code,
             param: param.map(str::to_owned),
-            message: message.into(),
+            message: truncated(message.into()),
         }
     }
 
@@ -96,3 +99,13 @@
         format!("data: {}\n\n", self.to_json())
     }
 }
+
+/// Returns a message, cut off at [`MAX_MESSAGE_BYTES`].
+fn truncated(mut message: String) -> String {
+    if message.len() > MAX_MESSAGE_BYTES {
+        message.truncate(message.floor_char_boundary(MAX_MESSAGE_BYTES));
+        message.shrink_to_fit();
+        message.push_str("...");
+    }
+    message
+}
--- a/crates/inference-api/src/fields.rs
+++ b/crates/inference-api/src/fields.rs
@@ -10,10 +10,15 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
+use crate::bounded_list::visit_items;
 use crate::error::ApiError;
 
 /// Maximum number of fields of an object. The API defines far fewer.
 const MAX_FIELDS: usize = 256;
+/// Maximum length of a field's name in bytes.
+const MAX_FIELD_NAME_BYTES: usize = 256;
+/// Maximum number of invalid fields that an error names.
+const MAX_FIELD_ERRORS: usize = 16;
 
 /// The fields of an object, in the order of the body.
 #[derive(Debug, Default)]
@@ -31,7 +36,10 @@
 
             fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Fields<'de>, A::Error> {
                 let mut fields: Vec<(Cow<'de, str>, &'de RawValue)> = Vec::new();
-                while let Some(FieldName(name)) = map.next_key()? {
+                while let Some(Text(name)) = map.next_key()? {
+                    if name.len() > MAX_FIELD_NAME_BYTES {
+                        return Err(serde::de::Error::custom("a name is too long"));
+                    }
                     if fields.iter().any(|(n, _)| *n == name) {
                         return Err(serde::de::Error::custom(format_args!(
                             "{name:?} stands twice"
@@ -49,28 +57,28 @@
     }
 }
 
-/// A field's name, borrowed from the body unless it contains escapes.
-struct FieldName<'a>(Cow<'a, str>);
+/// A string, borrowed from the body unless it contains escapes.
+pub(crate) struct Text<'a>(pub(crate) Cow<'a, str>);
 
-impl<'de: 'a, 'a> Deserialize<'de> for FieldName<'a> {
+impl<'de: 'a, 'a> Deserialize<'de> for Text<'a> {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        struct NameVisitor;
-        impl<'de> Visitor<'de> for NameVisitor {
-            type Value = FieldName<'de>;
+        struct TextVisitor;
+        impl<'de> Visitor<'de> for TextVisitor {
+            type Value = Text<'de>;
 
             fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
-                f.write_str("a name")
+                f.write_str("a text")
             }
 
-            fn visit_borrowed_str<E>(self, text: &'de str) -> Result<FieldName<'de>, E> {
-                Ok(FieldName(Cow::Borrowed(text)))
+            fn visit_borrowed_str<E>(self, text: &'de str) -> Result<Text<'de>, E> {
+                Ok(Text(Cow::Borrowed(text)))
             }
 
-            fn visit_str<E>(self, text: &str) -> Result<FieldName<'de>, E> {
-                Ok(FieldName(Cow::Owned(text.to_owned())))
+            fn visit_str<E>(self, text: &str) -> Result<Text<'de>, E> {
+                Ok(Text(Cow::Owned(text.to_owned())))
             }
         }
-        deserializer.deserialize_str(NameVisitor)
+        deserializer.deserialize_str(TextVisitor)
     }
 }
 
@@ -92,18 +100,24 @@
         Some(value)
     }
 
-    /// Encodes all fields except for the excluded ones, each followed by a comma.
-    pub(crate) fn encode_without(&self, excluded: &[&str]) -> String {
-        let mut text = String::new();
-        for (name, value) in &self.0 {
-            if !excluded.contains(&&**name) {
-                push_field(&mut text, name, value.get());
-            }
+    /// Appends all fields except for the excluded ones to `text`, each followed by a comma.
+    pub(crate) fn encode_without(&self, excluded: &[&str], text: &mut String) {
+        let is_included = |name: &Cow<str>| !excluded.contains(&&**name);
+        let included = || self.0.iter().filter(|(name, _)| is_included(name));
+        let length: usize = included()
+            .map(|(name, value)| json_string(name).len() + value.get().len() + SEPARATOR_BYTES)
+            .sum();
+        // Without this, the text would grow step by step to up to twice its length.
+        text.reserve_exact(length);
+        for (name, value) in included() {
+            push_field(text, name, value.get());
         }
-        text
     }
 }
 
+/// Number of bytes of the colon and the comma of an encoded field.
+const SEPARATOR_BYTES: usize = 2;
+
 /// Encodes a string as JSON.
 pub(crate) fn json_string(text: &str) -> String {
     serde_json::to_string(text).unwrap_or_default()
@@ -127,6 +141,8 @@
 pub(crate) struct FieldReader<'f, 'a> {
     fields: &'f Fields<'a>,
     field_errors: Vec<FieldError>,
+    /// Number of errors that are not kept.
+    further_errors: usize,
 }
 
 impl<'f, 'a> FieldReader<'f, 'a> {
@@ -135,11 +151,16 @@
         FieldReader {
             fields,
             field_errors: Vec::new(),
+            further_errors: 0,
         }
     }
 
     /// Adds an error for a field. Its message continues the name of the field.
     pub(crate) fn add_error(&mut self, param: impl Into<String>, message: impl Into<String>) {
+        if self.field_errors.len() == MAX_FIELD_ERRORS {
+            self.further_errors += 1;
+            return;
+        }
         self.field_errors.push(FieldError {
             param: param.into(),
             message: message.into(),
@@ -206,13 +227,19 @@
     /// Returns the items of an optional list, or `None` if it is absent, invalid or longer than
     /// `limit`.
     pub(crate) fn list(&mut self, name: &str, limit: usize) -> Option<Vec<&'a RawValue>> {
-        let items: Vec<&'a RawValue> = self.optional(name, "a list", |_| true)?;
-        if items.len() > limit {
-            let message = format!("holds {} items, more than {limit}", items.len());
-            self.add_error(name, message);
-            return None;
+        let raw = self.fields.get(name)?;
+        let mut items = Vec::new();
+        match visit_items(raw, limit, |item| items.push(item)) {
+            Ok(length) if length.is_exceeded() => {
+                self.add_error(name, length.error_message());
+                None
+            }
+            Ok(_) => Some(items),
+            Err(_) => {
+                self.add_error(name, "must be a list");
+                None
+            }
         }
-        Some(items)
     }
 
     /// Returns one error that names all invalid and missing fields, if there are any.
@@ -220,11 +247,14 @@
         let Some(first) = self.field_errors.first() else {
             return Ok(());
         };
-        let messages: Vec<String> = self
+        let mut messages: Vec<String> = self
             .field_errors
             .iter()
             .map(|field_error| format!("{} {}", field_error.param, field_error.message))
             .collect();
+        if self.further_errors > 0 {
+            messages.push(format!("and {} more", self.further_errors));
+        }
         Err(ApiError::invalid_value(&first.param, messages.join("; ")))
     }
 }
--- a/crates/inference-api/src/lib.rs
+++ b/crates/inference-api/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod batch;
 pub mod body_limits;
+mod bounded_list;
 pub mod chat;
 pub mod chat_collector;
 pub mod error;
