Count what decoding holds in the byte budget, and decode large bodies on a thread

Cause: the byte budget counted the body only, not the encoded copy, the texts with escapes and the items that decoding holds; several clients' bodies were decoded on the thread that serves all connections; held_bytes was taken as it is, whatever memory the router has (limits.memory_mb was not read). Change: BodyDecoder reserves BodyLimits::decoding_bytes before it decodes, one body at a time, above 32 KiB on a thread of its own whose reservation lives until it ends. The inference API's budget is at most a third of limits.memory_mb, and a body is at most what can be decoded within that. A slice is reserved before it is encoded; a vector has at most 65,536 numbers; whether a response is an object is checked without building it.

--- a/crates/inference-api/src/batch.rs
+++ b/crates/inference-api/src/batch.rs
@@ -16,7 +16,7 @@
 use crate::fields::{json_string, push_field, FieldReader, Fields, Text};
 
 /// Maximum value of `dimensions`.
-const MAX_DIMENSIONS: u64 = 65_536;
+pub(crate) const MAX_DIMENSIONS: usize = 65_536;
 /// Estimated size in bytes of a slice's body beside its items, their separators and the shared
 /// fields.
 const ENCODING_OVERHEAD_BYTES: usize = 64;
@@ -145,6 +145,13 @@
         })
     }
 
+    /// Returns the number of bytes that the request holds: its body, the shared fields and the items.
+    pub fn memory_bytes(&self) -> usize {
+        let item_bytes = size_of::<Range<u32>>() + size_of::<u32>();
+        let name_bytes = self.model.len() + self.user.as_ref().map_or(0, String::len);
+        self.body.len() + self.shared_fields.len() + name_bytes + self.len() * item_bytes
+    }
+
     /// Returns the number of items.
     pub fn len(&self) -> usize {
         self.items.len()
@@ -167,13 +174,21 @@
         self.shared_tokens + items.map(|tokens| u64::from(*tokens)).sum::<u64>()
     }
 
-    /// Encodes the body of a slice for an endpoint. `model` is the endpoint's name of the model.
-    pub fn encode(&self, slice: &Range<usize>, model: &str) -> Bytes {
+    /// Returns the maximum size in bytes of the encoded body of a slice.
+    pub fn encoded_bytes(&self, slice: &Range<usize>, model: &str) -> usize {
         let items = self.items[slice.clone()].iter();
         let items_length: usize = items.map(ExactSizeIterator::len).sum();
-        let capacity =
-            self.shared_fields.len() + items_length + slice.len() + ENCODING_OVERHEAD_BYTES;
-        let mut text = String::with_capacity(capacity);
+        let model_length = json_string(model).len();
+        self.shared_fields.len()
+            + items_length
+            + slice.len()
+            + model_length
+            + ENCODING_OVERHEAD_BYTES
+    }
+
+    /// Encodes the body of a slice for an endpoint. `model` is the endpoint's name of the model.
+    pub fn encode(&self, slice: &Range<usize>, model: &str) -> Bytes {
+        let mut text = String::with_capacity(self.encoded_bytes(slice, model));
         text.push('{');
         text.push_str(&self.shared_fields);
         push_field(&mut text, "model", &json_string(model));
@@ -202,7 +217,7 @@
         };
         FormFields {
             encoding,
-            dimensions: reader.integer("dimensions", 1..=MAX_DIMENSIONS),
+            dimensions: reader.integer("dimensions", 1..=MAX_DIMENSIONS as u64),
             ..FormFields::default()
         }
     }
--- a/crates/inference-api/src/body_limits.rs
+++ b/crates/inference-api/src/body_limits.rs
@@ -3,6 +3,15 @@
 
 use crate::error::ApiError;
 
+/// Memory that decoding holds for each item of a list, in bytes: references to the item, its token
+/// count and its range.
+const ITEM_BYTES: usize = 64;
+/// Number of copies of a string with escapes that decoding holds at once: the decoder's buffer,
+/// which may be twice as large as the string, and the decoded string.
+const STRING_COPIES: usize = 3;
+/// Memory that decoding holds for everything else, in bytes.
+const DECODING_OVERHEAD_BYTES: usize = 16 * 1024;
+
 /// Limits of a request body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BodyLimits {
@@ -26,6 +35,25 @@
 }
 
 impl BodyLimits {
+    /// Returns the maximum number of bytes that decoding a body holds beside the body itself: an
+    /// encoded copy of its fields, one string, and the items of one list.
+    pub fn decoding_bytes(&self, body_bytes: usize) -> usize {
+        let string_bytes = STRING_COPIES * self.string_bytes.min(body_bytes);
+        // An item and its separator have at least two bytes.
+        let items = self.items.min(body_bytes / 2);
+        body_bytes + string_bytes + items * ITEM_BYTES + DECODING_OVERHEAD_BYTES
+    }
+
+    /// Returns the size in bytes of the largest body that can be decoded within `budget` bytes.
+    pub fn largest_body(&self, budget: usize) -> usize {
+        let fixed = self.items * ITEM_BYTES + DECODING_OVERHEAD_BYTES;
+        let budget = budget.saturating_sub(fixed);
+        // A body of at most one string is held in copies of the body and of the string.
+        let small = budget / (2 + STRING_COPIES);
+        let large = budget.saturating_sub(STRING_COPIES * self.string_bytes) / 2;
+        small.min(self.string_bytes).max(large)
+    }
+
     /// Checks the nesting depth and the length of strings. The number of items is checked when the
     /// lists are decoded.
     pub fn check(&self, body: &[u8]) -> Result<(), ApiError> {
--- a/crates/inference-api/src/body_limits/tests.rs
+++ b/crates/inference-api/src/body_limits/tests.rs
@@ -24,3 +24,18 @@
     }
     assert_eq!(code(&"[".repeat(100_000)), Some("too_deep"));
 }
+
+/// Guards against a limit of bodies that the byte budget cannot hold while they are decoded.
+#[test]
+fn the_largest_body_can_be_decoded_within_the_budget() {
+    let limits = BodyLimits::default();
+    for budget in [4_000_000, 21_000_000, 32_000_000, 64_000_000, 1_000_000_000] {
+        let largest = limits.largest_body(budget);
+        assert!(largest > budget / 8, "{budget}: {largest}");
+        assert!(
+            largest + limits.decoding_bytes(largest) <= budget,
+            "{budget}: {largest}"
+        );
+    }
+    assert_eq!(limits.largest_body(1_000), 0);
+}
--- a/crates/inference-api/src/slice_result.rs
+++ b/crates/inference-api/src/slice_result.rs
@@ -6,7 +6,8 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
-use crate::batch::{BatchForm, BatchRequest, VectorEncoding};
+use crate::batch::{BatchForm, BatchRequest, VectorEncoding, MAX_DIMENSIONS};
+use crate::bounded_list::visit_items;
 
 /// Reason why an endpoint's response to a slice cannot be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -183,8 +184,7 @@
         let (numbers, encoding) = if text.starts_with('"') {
             (decode_base64(text)?, VectorEncoding::Base64)
         } else {
-            let numbers = serde_json::from_str(text).map_err(|_| ResultError::InvalidValue)?;
-            (numbers, VectorEncoding::Float)
+            (decode_numbers(raw)?, VectorEncoding::Float)
         };
         if numbers.is_empty() || !numbers.iter().all(|n| n.is_finite()) {
             return Err(ResultError::InvalidValue);
@@ -201,6 +201,15 @@
     }
 }
 
+/// Decodes a list of numbers, which is as long as a vector may be at most.
+fn decode_numbers(raw: &RawValue) -> Result<Vec<f32>, ResultError> {
+    let mut numbers = Vec::new();
+    match visit_items(raw, MAX_DIMENSIONS, |number| numbers.push(number)) {
+        Ok(length) if !length.is_exceeded() => Ok(numbers),
+        Ok(_) | Err(_) => Err(ResultError::InvalidValue),
+    }
+}
+
 fn decode_base64(text: &str) -> Result<Vec<f32>, ResultError> {
     let encoded: Cow<str> = serde_json::from_str(text).map_err(|_| ResultError::InvalidValue)?;
     let bytes = BASE64_STANDARD
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -20,6 +20,9 @@
 const MIN_SOCKETS: usize = 64;
 /// Maximum number of file descriptors if the configuration does not set one.
 const DEFAULT_SOCKETS: usize = 1_024;
+const BYTES_PER_MEGABYTE: f64 = 1e6;
+/// The bodies of the inference API may take the memory divided by this.
+const INFERENCE_MEMORY_DIVISOR: usize = 3;
 
 /// The reason why a file cannot be used. Its text is one line that names the file, and the key if a
 /// key is at fault.
@@ -120,6 +123,24 @@
     /// The maximum number of file descriptors.
     #[serde(default = "default_sockets")]
     pub sockets: usize,
+    /// The maximum memory in megabytes; unlimited if it is not set.
+    pub memory_mb: Option<f64>,
+}
+
+impl Limits {
+    /// Returns the maximum memory in bytes.
+    fn memory_bytes(&self) -> usize {
+        match self.memory_mb {
+            Some(megabytes) => (megabytes * BYTES_PER_MEGABYTE) as usize,
+            None => usize::MAX,
+        }
+    }
+
+    /// Returns the maximum number of bytes for the bodies of the inference API, which may be set
+    /// lower in its own file. The rest is for connections, tables and the platform API.
+    pub fn inference_memory_bytes(&self) -> usize {
+        self.memory_bytes() / INFERENCE_MEMORY_DIVISOR
+    }
 }
 
 fn default_sockets() -> usize {
@@ -130,6 +151,7 @@
     fn default() -> Self {
         Limits {
             sockets: default_sockets(),
+            memory_mb: None,
         }
     }
 }
--- a/crates/router/src/frontend/byte_budget.rs
+++ b/crates/router/src/frontend/byte_budget.rs
@@ -47,8 +47,12 @@
 
     /// Returns whether `additional` bytes can be reserved for request bodies.
     fn can_reserve_for_request(&self, additional: usize) -> bool {
-        let request_capacity = self.0.capacity - self.0.capacity / 4;
-        additional <= request_capacity.saturating_sub(self.reserved())
+        additional <= self.request_capacity().saturating_sub(self.reserved())
+    }
+
+    /// Returns the number of bytes that request bodies may use.
+    fn request_capacity(&self) -> usize {
+        self.0.capacity - self.0.capacity / 4
     }
 
     /// Returns the number of bytes reserved now.
@@ -93,6 +97,11 @@
         true
     }
 
+    /// Returns the number of bytes that all request bodies together may use.
+    pub fn request_capacity(&self) -> usize {
+        self.budget.request_capacity()
+    }
+
     /// Shrinks to `bytes`, and returns the rest to the budget. Never grows.
     pub fn shrink_to(&mut self, bytes: usize) {
         let surplus = self.bytes.saturating_sub(bytes);
--- a/crates/router/src/frontend/inference/batches.rs
+++ b/crates/router/src/frontend/inference/batches.rs
@@ -185,12 +185,13 @@
             batch,
             model,
         } = request;
-        let body = batch.encode(&dispatch.items, model.name);
-        let Some(request_reservation) = self.budget.reserve(body.len()) else {
+        let encoded_bytes = batch.encoded_bytes(&dispatch.items, model.name);
+        let Some(request_reservation) = self.budget.reserve(encoded_bytes) else {
             return Err(SliceError::Failed(SliceFailure::OutOfMemory {
                 retry_after: to_micros(DEFAULT_RETRY_AFTER),
             }));
         };
+        let body = batch.encode(&dispatch.items, model.name);
         let message = context.forwarded_request(batch.form.endpoint_path(), body);
         let id = slice_request_id(context, dispatch);
         let incoming = context.incoming_request(id, *model, dispatch.tokens, message);
--- a/crates/router/src/frontend/inference/chat.rs
+++ b/crates/router/src/frontend/inference/chat.rs
@@ -1,13 +1,15 @@
 //! Serves chat completions.
 
 use bytes::Bytes;
-use cranetack_inference_api::{ApiEndpoint, ChatRequest};
+use cranetack_inference_api::{ApiEndpoint, BodyLimits, ChatRequest};
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response};
+use serde::de::IgnoredAny;
 use tokio::time::Instant;
 
 use super::buffered_body::BufferedBody;
 use super::collect::{collect_body, collect_chat_events, CollectedBody};
+use super::decoding::Decoded;
 use super::error::{json_response, RequestError};
 use super::event_stream::EventStreamBody;
 use super::request::{RequestContext, ServedModel, IDEMPOTENCY_KEY};
@@ -28,17 +30,25 @@
         &self,
         context: RequestContext,
         body: Bytes,
-        mut reservation: ByteReservation,
+        reservation: ByteReservation,
     ) -> Result<Response<ResponseBody>, RequestError> {
-        let chat = ChatRequest::decode(&body, &self.setup.limits.body_limits())?;
+        let decode = |body: Bytes, limits: &BodyLimits| ChatRequest::decode(&body, limits);
+        let decoded = self.decoder.decode(body.clone(), reservation, decode);
+        let Decoded { value, reservation } = decoded.await?;
+        let chat = value?;
         let model = self.resolve_model(&chat.model, ApiEndpoint::Chat)?;
-        let forwarded = chat.encode(&body, model.name)?;
-        drop(body);
+        let (request, model_name) = (chat.clone(), model.name.to_owned());
+        let encode = move |body: Bytes, _: &BodyLimits| request.encode(&body, &model_name);
+        let encoded = self.decoder.decode(body, reservation, encode).await?;
+        let forwarded = encoded.value?;
+        let mut reservation = encoded.reservation;
         // Before the request is sent, memory is reserved for the forwarded body, and at least as
         // much as the chunks of a stream need. An unstreamed response reserves more as it arrives.
-        if !reservation.try_grow_to(forwarded.len().max(STREAM_RESERVATION)) {
+        let held_bytes = forwarded.len().max(STREAM_RESERVATION);
+        if !reservation.try_grow_to(held_bytes) {
             return Err(RequestError::Body(BodyError::BudgetExhausted));
         }
+        reservation.shrink_to(held_bytes);
         let incoming = chat_request(&context, &chat, model, forwarded);
         let (response, disconnect) = self.handle.submit(incoming).response().await;
         let EndpointResponse { media_type, stream } =
@@ -124,8 +134,9 @@
 }
 
 fn check_is_json_object(body: &CollectedBody) -> Result<(), RequestError> {
-    match serde_json::from_slice::<serde_json::Map<String, serde_json::Value>>(&body.data) {
-        Ok(_) => Ok(()),
-        Err(_) => Err(RequestError::UpstreamFailed),
+    let is_object = body.data.trim_ascii_start().starts_with(b"{");
+    match serde_json::from_slice::<IgnoredAny>(&body.data) {
+        Ok(_) if is_object => Ok(()),
+        Ok(_) | Err(_) => Err(RequestError::UpstreamFailed),
     }
 }
--- a/crates/router/src/frontend/inference/mod.rs
+++ b/crates/router/src/frontend/inference/mod.rs
@@ -9,6 +9,7 @@
 mod buffered_body;
 mod chat;
 mod collect;
+mod decoding;
 mod error;
 mod event_stream;
 mod request;
--- a/crates/router/src/frontend/inference/service.rs
+++ b/crates/router/src/frontend/inference/service.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use super::batch_queue::BatchQueue;
+use super::decoding::BodyDecoder;
 use super::error::{json_response, RequestError};
 use super::request::{
     client_request_id, header, OpenRequestIds, RequestContext, RequestIdGenerator, ServedModel,
@@ -59,6 +60,7 @@
     catalog: ModelCatalog,
     tenants: Option<Tenants>,
     pub(super) budget: ByteBudget,
+    pub(super) decoder: BodyDecoder,
     pub(super) queue: BatchQueue,
     pub(super) phase: watch::Receiver<Phase>,
     open_ids: OpenRequestIds,
@@ -119,6 +121,7 @@
             settings: settings.clone(),
             tenants,
             budget: ByteBudget::new(setup.limits.byte_budget),
+            decoder: BodyDecoder::new(setup.limits.body_limits()),
             queue: BatchQueue::new(setup.batches.scheduler_config(max_retry_after)),
             setup,
             phase,
@@ -174,15 +177,26 @@
             return Err(RequestError::MethodNotAllowed("POST"));
         }
         let context = self.open_request(id, &head, route.endpoint())?;
-        let limits = &self.setup.limits;
         let (body, reservation) = body
-            .read_to_end(Some(&head.headers), limits.body_bytes, &self.budget)
+            .read_to_end(
+                Some(&head.headers),
+                self.setup.limits.body_bytes,
+                &self.budget,
+            )
             .await
             .map_err(RequestError::Body)?;
         match route {
             Route::Chat => self.serve_chat(context, body, reservation).await,
             Route::Batch(_, form) => {
-                let batch = BatchRequest::decode(form, body, &limits.body_limits())?;
+                let decode = move |body, limits: &_| BatchRequest::decode(form, body, limits);
+                let decoded = self.decoder.decode(body, reservation, decode).await?;
+                let batch = decoded.value?;
+                let mut reservation = decoded.reservation;
+                let held_bytes = batch.memory_bytes();
+                if !reservation.try_grow_to(held_bytes) {
+                    return Err(RequestError::Body(BodyError::BudgetExhausted));
+                }
+                reservation.shrink_to(held_bytes);
                 self.serve_batch(context, batch, reservation).await
             }
         }
--- a/crates/router/src/frontend/inference/setup.rs
+++ b/crates/router/src/frontend/inference/setup.rs
@@ -98,6 +98,13 @@
         }
     }
 
+    /// Lowers the limits so that all bodies together, and what decoding one of them holds, take at
+    /// most `memory_bytes`.
+    pub(crate) fn within_memory(mut self, memory_bytes: usize) -> Setup {
+        self.limits = self.limits.within_memory(memory_bytes);
+        self
+    }
+
     /// Builds the catalog of models, which refers to classes by their index in the settings. An
     /// error names the key.
     pub fn catalog(&self, site: &SiteSettings) -> Result<ModelCatalog, String> {
--- a/crates/router/src/frontend/inference/setup/limits.rs
+++ b/crates/router/src/frontend/inference/setup/limits.rs
@@ -61,6 +61,15 @@
         }
     }
 
+    /// Lowers the byte budget to `memory_bytes`, and the size of a body to what can be decoded
+    /// within that.
+    pub(super) fn within_memory(mut self, memory_bytes: usize) -> Limits {
+        let largest_body = self.body_limits().largest_body(memory_bytes);
+        self.byte_budget = self.byte_budget.min(memory_bytes);
+        self.body_bytes = self.body_bytes.min(largest_body);
+        self
+    }
+
     /// Returns the maximum time for a request to arrive.
     pub fn request_timeout(&self) -> Duration {
         Duration::from_millis(self.request_timeout_ms)
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -137,9 +137,10 @@
         return;
     };
     tracing::info!(listen = %setup.listen, "serving the inference API");
+    let memory_limit = parts.config.limits.inference_memory_bytes();
     let service = Inference::new(
         parts.handle.clone(),
-        setup,
+        setup.within_memory(memory_limit),
         &parts.config.site,
         &parts.config.settings,
         tenants,
