--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -21,8 +21,6 @@
 /// Maximum number of file descriptors if the configuration does not set one.
 const DEFAULT_SOCKETS: usize = 1_024;
 const BYTES_PER_MEGABYTE: f64 = 1e6;
-/// The bodies of the inference API may take the memory divided by this.
-const INFERENCE_MEMORY_DIVISOR: usize = 3;
 
 /// The reason why a file cannot be used. Its text is one line that names the file, and the key if a
 /// key is at fault.
@@ -129,18 +127,12 @@
 
 impl Limits {
     /// Returns the maximum memory in bytes.
-    fn memory_bytes(&self) -> usize {
+    pub(crate) fn memory_bytes(&self) -> usize {
         match self.memory_mb {
             Some(megabytes) => (megabytes * BYTES_PER_MEGABYTE) as usize,
             None => usize::MAX,
         }
     }
-
-    /// Returns the maximum number of bytes for the bodies of the inference API, which may be set
-    /// lower in its own file. The rest is for connections, tables and the platform API.
-    pub fn inference_memory_bytes(&self) -> usize {
-        self.memory_bytes() / INFERENCE_MEMORY_DIVISOR
-    }
 }
 
 fn default_sockets() -> usize {
--- a/crates/router/src/frontend/body.rs
+++ b/crates/router/src/frontend/body.rs
@@ -43,6 +43,9 @@
     /// The byte budget has too few free bytes for the body.
     #[error("there is no room for the body now; trying again is harmless")]
     BudgetExhausted,
+    /// All connections that the router may serve are in use.
+    #[error("too many connections are in use; trying again is harmless")]
+    TooManyConnections,
     /// The router is shutting down, and the accept window ended before the body had arrived.
     #[error("the router is shutting down; trying again is harmless")]
     ShuttingDown,
@@ -61,7 +64,9 @@
             BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             BodyError::Unreadable | BodyError::AmbiguousLength => StatusCode::BAD_REQUEST,
             BodyError::TimedOut => StatusCode::REQUEST_TIMEOUT,
-            BodyError::BudgetExhausted | BodyError::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
+            BodyError::BudgetExhausted
+            | BodyError::TooManyConnections
+            | BodyError::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
             BodyError::UnsupportedEncoding | BodyError::UnsupportedMediaType => {
                 StatusCode::UNSUPPORTED_MEDIA_TYPE
             }
@@ -87,6 +92,8 @@
     pub(super) has_ambiguous_length: bool,
     /// Whether the client waits for `100 Continue` before it sends the body.
     pub(super) expects_continue: bool,
+    /// Whether the request is rejected, as too many connections are in use.
+    pub(super) is_rejected: bool,
     /// The tracker of the connection's requests.
     pub(super) request_tracker: RequestTracker,
 }
@@ -114,7 +121,12 @@
         // A client that still waits for `100 Continue` sends no body. Reading the body makes hyper
         // send that response.
         let mut is_arriving = !self.expects_continue;
-        let result = match check_headers_and_reserve(headers, declared_length, size_limit, budget) {
+        let checked = if self.is_rejected {
+            Err(BodyError::TooManyConnections)
+        } else {
+            check_headers_and_reserve(headers, declared_length, size_limit, budget)
+        };
+        let result = match checked {
             Ok((coding, reservation)) => {
                 let buffer = BodyBuffer {
                     size_limit,
--- a/crates/router/src/frontend/byte_budget.rs
+++ b/crates/router/src/frontend/byte_budget.rs
@@ -8,6 +8,8 @@
 
 struct Usage {
     capacity: usize,
+    /// Number of bytes that request bodies may use.
+    request_capacity: usize,
     reserved: Cell<usize>,
     peak: Cell<usize>,
 }
@@ -19,8 +21,18 @@
 impl ByteBudget {
     /// Creates a budget of `capacity` bytes.
     pub fn new(capacity: usize) -> ByteBudget {
+        ByteBudget::with_request_capacity(capacity, capacity - capacity / 4)
+    }
+
+    /// Creates a budget of `capacity` bytes, all of which request bodies may use.
+    pub fn for_requests_only(capacity: usize) -> ByteBudget {
+        ByteBudget::with_request_capacity(capacity, capacity)
+    }
+
+    fn with_request_capacity(capacity: usize, request_capacity: usize) -> ByteBudget {
         ByteBudget(Rc::new(Usage {
             capacity,
+            request_capacity,
             reserved: Cell::default(),
             peak: Cell::default(),
         }))
@@ -52,7 +64,7 @@
 
     /// Returns the number of bytes that request bodies may use.
     fn request_capacity(&self) -> usize {
-        self.0.capacity - self.0.capacity / 4
+        self.0.request_capacity
     }
 
     /// Returns the number of bytes reserved now.
--- a/crates/router/src/frontend/connection_server.rs
+++ b/crates/router/src/frontend/connection_server.rs
@@ -37,6 +37,7 @@
         frontend,
         phase: phase.clone(),
         request_tracker: connection.request_tracker(),
+        is_rejecting: connection.is_rejecting(),
     };
     let _ = stream.set_nodelay(true);
     let stream = Rc::new(RefCell::new(Socket::from(stream)));
@@ -131,6 +132,8 @@
     frontend: F,
     phase: watch::Receiver<Phase>,
     request_tracker: RequestTracker,
+    /// Whether all requests are rejected, as too many connections are in use.
+    is_rejecting: bool,
 }
 
 impl<F: Frontend> ConnectionService<F> {
@@ -167,6 +170,7 @@
             deadline: guard.body_deadline(),
             has_ambiguous_length: self.request_tracker.has_ambiguous_length(),
             expects_continue,
+            is_rejected: self.is_rejecting,
             request_tracker: self.request_tracker.clone(),
         });
         self.frontend.clone().respond(request).await
@@ -176,7 +180,8 @@
     /// client send its next request on another connection, and this one need not be closed later.
     /// No response says so whose client is owed further responses.
     fn set_connection_header(&self, response: &mut Response<ResponseBody>) {
-        if self.phase.borrow().is_shutting_down() || self.request_tracker.is_last_request() {
+        let is_last = self.is_rejecting || self.request_tracker.is_last_request();
+        if is_last || self.phase.borrow().is_shutting_down() {
             response
                 .headers_mut()
                 .insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/router/src/frontend/connections.rs
+++ b/crates/router/src/frontend/connections.rs
@@ -7,12 +7,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::pending;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{timeout, Instant};
+use tokio::time::{sleep_until, timeout, Instant};
 
 use super::client_stream::{ReadAhead, TrackedStream};
 use super::connection_state::{Activity, ClientLimits, ConnectionState};
@@ -26,10 +27,19 @@
 /// the router has closed its own.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// The registry of a frontend's client connections, which limits their number.
-pub(crate) struct ConnectionLimiter {
+/// Time for which a new connection waits for a permit while all others are answering requests. Its
+/// request, if there is one, has not been read meanwhile, and its deadline is running.
+const MAX_PERMIT_WAIT: Duration = Duration::from_millis(100);
+/// Maximum number of connections that are accepted without a permit, to reject their requests. They
+/// use file descriptors that are reserved for other purposes.
+const MAX_REJECTING_CONNECTIONS: usize = 8;
+
+/// The registry of the client connections of all frontends, which limits their number.
+pub struct ConnectionLimiter {
     permits: Arc<Semaphore>,
-    limits: ClientLimits,
+    rejecting_permits: Arc<Semaphore>,
+    /// Since when new connections have waited for a permit in vain.
+    exhausted_since: Cell<Option<Instant>>,
     read_ahead_total: Rc<Cell<usize>>,
     connections: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
     next_connection_id: Cell<u64>,
@@ -37,40 +47,69 @@
 
 impl ConnectionLimiter {
     /// Creates a limiter that permits at most `connection_limit` connections.
-    pub(crate) fn new(connection_limit: usize, limits: ClientLimits) -> Rc<ConnectionLimiter> {
+    pub fn new(connection_limit: usize) -> Rc<ConnectionLimiter> {
         Rc::new(ConnectionLimiter {
             permits: Arc::new(Semaphore::new(connection_limit)),
-            limits,
+            rejecting_permits: Arc::new(Semaphore::new(MAX_REJECTING_CONNECTIONS)),
+            exhausted_since: Cell::default(),
             read_ahead_total: Rc::default(),
             connections: RefCell::default(),
             next_connection_id: Cell::default(),
         })
     }
 
-    /// Waits for a permit. While none is available, the connection that has been idle for longest
-    /// is evicted at each [`EVICTION_INTERVAL`], so that clients that send nothing cannot hold the
-    /// permits that others need.
-    pub(crate) async fn acquire(&self) -> Option<OwnedSemaphorePermit> {
+    /// Waits for a permit for a new connection. If none has become available for
+    /// [`MAX_PERMIT_WAIT`], the connection may get a permit to reject its requests.
+    pub(crate) async fn acquire(&self) -> ConnectionPermit {
+        tokio::select! {
+            biased;
+            permit = self.acquire_serving() => permit,
+            permit = self.acquire_rejecting() => permit,
+        }
+    }
+
+    /// Waits for a permit to serve requests. While none is available, the connection that has been
+    /// idle for longest is evicted at each [`EVICTION_INTERVAL`], so that clients that send nothing
+    /// cannot hold the permits that others need.
+    pub(crate) async fn acquire_serving(&self) -> ConnectionPermit {
         loop {
             if self.permits.available_permits() == 0 {
                 self.evict_longest_idle();
             }
             let permit = self.permits.clone().acquire_owned();
-            if let Ok(permit) = timeout(EVICTION_INTERVAL, permit).await {
-                return permit.ok();
+            if let Ok(Ok(permit)) = timeout(EVICTION_INTERVAL, permit).await {
+                self.exhausted_since.set(None);
+                return ConnectionPermit {
+                    _permit: permit,
+                    is_rejecting: false,
+                };
             }
         }
     }
 
+    async fn acquire_rejecting(&self) -> ConnectionPermit {
+        let exhausted_since = self.exhausted_since.get().unwrap_or_else(Instant::now);
+        self.exhausted_since.set(Some(exhausted_since));
+        sleep_until(exhausted_since + MAX_PERMIT_WAIT).await;
+        match self.rejecting_permits.clone().acquire_owned().await {
+            Ok(permit) => ConnectionPermit {
+                _permit: permit,
+                is_rejecting: true,
+            },
+            Err(_) => pending().await,
+        }
+    }
+
     /// Registers a connection that has just been accepted.
     pub(crate) fn register(
         self: &Rc<Self>,
-        permit: Option<OwnedSemaphorePermit>,
+        permit: Option<ConnectionPermit>,
+        limits: ClientLimits,
     ) -> ClientConnection {
         let connection_id = self
             .next_connection_id
             .replace(self.next_connection_id.get() + 1);
-        let state = ConnectionState::new(self.limits, self.read_ahead_total.clone());
+        let state = ConnectionState::new(limits, self.read_ahead_total.clone());
         let state = Rc::new(state);
         self.connections
             .borrow_mut()
@@ -79,7 +118,7 @@
             limiter: self.clone(),
             connection_id,
             state,
-            _permit: permit,
+            permit,
         }
     }
 
@@ -105,12 +144,19 @@
     }
 }
 
+/// The permit of a client connection, which is returned when this is dropped.
+pub(crate) struct ConnectionPermit {
+    _permit: OwnedSemaphorePermit,
+    /// Whether the connection's requests are rejected, as all permits to serve requests are in use.
+    pub(crate) is_rejecting: bool,
+}
+
 /// The permit and the state of a client connection. Dropping it releases both.
 pub(crate) struct ClientConnection {
     limiter: Rc<ConnectionLimiter>,
     connection_id: u64,
     state: Rc<ConnectionState>,
-    _permit: Option<OwnedSemaphorePermit>,
+    permit: Option<ConnectionPermit>,
 }
 
 impl Drop for ClientConnection {
@@ -166,6 +212,14 @@
         between_requests && !is_write_blocked && stream.borrow().has_received()
     }
 
+    /// Returns whether the requests on this connection are rejected, as too many connections are in
+    /// use.
+    pub(crate) fn is_rejecting(&self) -> bool {
+        self.permit
+            .as_ref()
+            .is_some_and(|permit| permit.is_rejecting)
+    }
+
     /// Returns the tracker of the requests on this connection.
     pub(crate) fn request_tracker(&self) -> RequestTracker {
         RequestTracker(self.state.clone())
--- a/crates/router/src/frontend/inference/error.rs
+++ b/crates/router/src/frontend/inference/error.rs
@@ -51,9 +51,11 @@
     pub(super) fn retry_after(&self) -> Option<Duration> {
         match self {
             RequestError::Rejected { retry_after } => Some(*retry_after),
-            RequestError::Body(BodyError::BudgetExhausted | BodyError::ShuttingDown) => {
-                Some(DEFAULT_RETRY_AFTER)
-            }
+            RequestError::Body(
+                BodyError::BudgetExhausted
+                | BodyError::TooManyConnections
+                | BodyError::ShuttingDown,
+            ) => Some(DEFAULT_RETRY_AFTER),
             RequestError::Api(error) if error.code == TENANTS_UNKNOWN => Some(DEFAULT_RETRY_AFTER),
             _ => None,
         }
@@ -116,7 +118,7 @@
 
 fn body_error(error: BodyError) -> ApiError {
     match error {
-        BodyError::BudgetExhausted | BodyError::ShuttingDown => {
+        BodyError::BudgetExhausted | BodyError::TooManyConnections | BodyError::ShuttingDown => {
             ApiError::server(503, "overloaded", error.to_string())
         }
         error => ApiError::invalid_request(
--- a/crates/router/src/frontend/mod.rs
+++ b/crates/router/src/frontend/mod.rs
@@ -27,6 +27,7 @@
 
 pub use body::{BodyError, RequestBody};
 pub use connection_state::ClientLimits;
+pub use connections::ConnectionLimiter;
 pub use readiness::Readiness;
 pub use response_body::{ResponseBody, StreamBody};
 pub use server::serve;
--- a/crates/router/src/frontend/pipeline.rs
+++ b/crates/router/src/frontend/pipeline.rs
@@ -45,7 +45,7 @@
 
 /// How a request is answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Admission {
+pub(crate) enum Admission {
     /// The frontend serves the request.
     Served,
     /// The request was discarded, so it is rejected.
--- a/crates/router/src/frontend/platform.rs
+++ b/crates/router/src/frontend/platform.rs
@@ -45,16 +45,20 @@
 }
 
 impl Platform {
-    /// Creates a frontend that submits its requests to the core through `handle`.
-    pub fn new(handle: Handle, site: &SiteSettings, readiness: Readiness) -> Platform {
+    /// Creates a frontend that submits its requests to the core through `handle`, and holds at most
+    /// `body_bytes` of request bodies.
+    pub fn new(
+        handle: Handle,
+        site: &SiteSettings,
+        readiness: Readiness,
+        body_bytes: usize,
+    ) -> Platform {
         let class_names = site.classes.iter().map(|c| c.name.clone()).collect();
         Platform {
             handle,
             class_names: Rc::new(class_names),
             readiness,
-            // No byte budget is needed: the connection limit and the body size limit together
-            // bound the memory of all bodies.
-            budget: ByteBudget::new(usize::MAX),
+            budget: ByteBudget::for_requests_only(body_bytes),
         }
     }
 
--- a/crates/router/src/frontend/server.rs
+++ b/crates/router/src/frontend/server.rs
@@ -12,7 +12,7 @@
 
 use super::connection_server::serve_connection;
 use super::connections::{ClientConnection, ConnectionLimiter};
-use super::Frontend;
+use super::{ClientLimits, Frontend};
 use crate::shutdown::{self, Phase};
 
 /// Interval between two checks for connections that have exceeded a timeout.
@@ -31,13 +31,12 @@
 pub async fn serve<F: Frontend>(
     listener: TcpListener,
     frontend: F,
-    connection_limit: usize,
+    limiter: &Rc<ConnectionLimiter>,
     phase: watch::Receiver<Phase>,
 ) {
-    let limiter = ConnectionLimiter::new(connection_limit, frontend.limits());
     tokio::select! {
-        () = accept_until_finishing(listener, frontend, &limiter, phase) => {}
-        () = close_expired_connections(&limiter) => {}
+        () = accept_until_finishing(listener, frontend, limiter, phase) => {}
+        () = close_expired_connections(limiter) => {}
     }
 }
 
@@ -49,17 +48,21 @@
 ) {
     let serve =
         |stream, connection| serve_connection(stream, connection, frontend.clone(), phase.clone());
+    let limits = frontend.limits();
     let mut connections = JoinSet::new();
     loop {
         let (stream, connection) = tokio::select! {
             biased;
             () = shutdown::accept_window_ended(phase.clone()) => break,
-            accepted = accept(&listener, limiter) => accepted,
+            accepted = accept(&listener, limiter, limits) => accepted,
         };
         while connections.try_join_next().is_some() {}
         connections.spawn_local(serve(stream, connection));
     }
-    reject_queued(listener, |stream| serve(stream, limiter.register(None))).await;
+    reject_queued(listener, |stream| {
+        serve(stream, limiter.register(None, limits))
+    })
+    .await;
     while connections.join_next().await.is_some() {}
 }
 
@@ -120,16 +123,30 @@
 }
 
 /// Waits for a permit and accepts the next connection. Until there is a permit, clients wait in the
-/// operating system's accept queue. No failure stops the listener, not even a lack of file
-/// descriptors.
+/// operating system's accept queue. A permit to serve requests replaces one to reject them if it
+/// becomes available before a connection arrives. No failure stops the listener, not even a lack of
+/// file descriptors.
 async fn accept(
     listener: &TcpListener,
     limiter: &Rc<ConnectionLimiter>,
+    limits: ClientLimits,
 ) -> (TcpStream, ClientConnection) {
-    let permit = limiter.acquire().await;
+    let mut permit = limiter.acquire().await;
+    if permit.is_rejecting {
+        tokio::select! {
+            biased;
+            stream = accept_next(listener) => return (stream, limiter.register(Some(permit), limits)),
+            serving = limiter.acquire_serving() => permit = serving,
+        }
+    }
+    let stream = accept_next(listener).await;
+    (stream, limiter.register(Some(permit), limits))
+}
+
+async fn accept_next(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => return (stream, limiter.register(permit)),
+            Ok((stream, _)) => return stream,
             Err(error) => wait_before_retry(error).await,
         }
     }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,10 +1,12 @@
 //! The router as a whole: it binds its addresses, starts its parts, and stops them in order.
 
 mod bind;
+mod capacity;
 mod parts;
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::net::TcpListener;
@@ -15,9 +17,10 @@
 use crate::control;
 use crate::frontend::inference::{self, Inference};
 use crate::frontend::platform::Platform;
-use crate::frontend::{self, Readiness};
+use crate::frontend::{self, ConnectionLimiter, Readiness};
 use crate::gossip::GossipSocket;
 use crate::tenants::Tenants;
+use capacity::Capacity;
 use parts::Parts;
 
 /// Time that the core has, after the last response, to start the releases of KV state of requests
@@ -100,18 +103,21 @@
             discovery_address,
             gossip,
         } = self;
-        let (parts, events) = Parts::new(config, gossip.as_ref(), signal);
+        let capacity = Capacity::new(&config.limits, inference.is_some());
+        let (parts, events) = Parts::new(config, capacity, gossip.as_ref(), signal);
         let mut releases_in_progress = parts.start_core(events, gossip);
         let discovery_done = parts.start_discovery(discovery_address);
         parts.start_shutdown_notification();
         let readiness = Readiness::new(discovery_done, parts.phase.clone());
-        let service = Platform::new(parts.handle.clone(), &parts.config.site, readiness);
+        let site = &parts.config.site;
+        let body_bytes = capacity.platform_body_bytes;
+        let service = Platform::new(parts.handle.clone(), site, readiness, body_bytes);
         tracing::info!(name = parts.config.name, listen = %parts.config.listen, "serving");
-        let connection_limit = parts.client_connection_limit(inference.is_some());
+        let limiter = ConnectionLimiter::new(capacity.client_connections);
         let control_tasks = control.map(|(listener, setup)| parts.start_control(listener, setup));
         tokio::join!(
-            frontend::serve(platform, service, connection_limit, parts.phase.clone()),
-            serve_inference(&parts, inference, tenants, connection_limit)
+            frontend::serve(platform, service, &limiter, parts.phase.clone()),
+            serve_inference(&parts, inference, tenants, &limiter)
         );
         // Proxies stay subscribed for as long as they run; no accepted request depends on them.
         drop(control_tasks);
@@ -131,21 +137,20 @@
     parts: &Parts,
     inference: Option<(TcpListener, inference::Setup)>,
     tenants: Option<Tenants>,
-    connection_limit: usize,
+    limiter: &Rc<ConnectionLimiter>,
 ) {
     let Some((listener, setup)) = inference else {
         return;
     };
     tracing::info!(listen = %setup.listen, "serving the inference API");
-    let memory_limit = parts.config.limits.inference_memory_bytes();
     let service = Inference::new(
         parts.handle.clone(),
-        setup.within_memory(memory_limit),
+        setup.within_memory(parts.capacity.inference_body_bytes),
         &parts.config.site,
         &parts.config.settings,
         tenants,
         parts.config.seed,
         parts.phase.clone(),
     );
-    frontend::serve(listener, service, connection_limit, parts.phase.clone()).await;
+    frontend::serve(listener, service, limiter, parts.phase.clone()).await;
 }
--- a/crates/router/src/router/parts.rs
+++ b/crates/router/src/router/parts.rs
@@ -9,6 +9,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
+use super::capacity::Capacity;
 use crate::config::Config;
 use crate::control;
 use crate::core::{Clock, Core, CoreEvent, EndpointListUpdate, Handle};
@@ -21,12 +22,6 @@
 /// Time without a response from discovery after which the router is ready with the endpoint list
 /// that it has.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// File descriptors that are reserved for everything except connections to clients and endpoints:
-/// listeners, discovery, logs and the runtime.
-const RESERVED_DESCRIPTORS: usize = 32;
-/// Maximum number of client connections, however many file descriptors there are. Each connection
-/// may hold a body of 256 KiB and a buffer.
-const MAX_CLIENT_CONNECTIONS: usize = 384;
 /// Time without data after which a resumable stream counts as broken: a machine that has vanished
 /// sends nothing. Clients wait for at most 5 s after the last event; if the stream ends before
 /// that, they resume it at another router.
@@ -45,6 +40,7 @@
     pub(super) config: Config,
     pub(super) handle: Handle,
     pub(super) phase: watch::Receiver<Phase>,
+    pub(super) capacity: Capacity,
     tasks: TaskGroup,
 }
 
@@ -56,6 +52,7 @@
     /// parts, and the receiver of events that [`Parts::start_core`] takes.
     pub(super) fn new(
         config: Config,
+        capacity: Capacity,
         gossip: Option<&GossipSocket>,
         signal: impl Future<Output = ()> + 'static,
     ) -> (Parts, CoreEvents) {
@@ -69,6 +66,7 @@
             config,
             handle,
             phase,
+            capacity,
             tasks,
         };
         (parts, events)
@@ -101,7 +99,7 @@
     fn upstream_options(&self) -> upstream::Options {
         let allowed = &self.config.site.allowed;
         upstream::Options {
-            connection_limit: self.connection_limit(),
+            connection_limit: self.capacity.endpoint_connections,
             connect_timeout: allowed.connect_timeout().unwrap_or(DEFAULT_CONNECT_TIMEOUT),
             endpoint_idle_timeout: allowed
                 .idle_close()
@@ -179,17 +177,4 @@
         });
         tasks
     }
-
-    /// Returns the maximum number of connections to all endpoints together. The same number is
-    /// available for connections to clients.
-    fn connection_limit(&self) -> usize {
-        (self.config.limits.sockets - RESERVED_DESCRIPTORS) / 2
-    }
-
-    /// Returns the maximum number of client connections of each frontend. The frontends share the
-    /// router's client connections evenly.
-    pub(super) fn client_connection_limit(&self, has_inference: bool) -> usize {
-        let frontends = if has_inference { 2 } else { 1 };
-        self.connection_limit().min(MAX_CLIENT_CONNECTIONS) / frontends
-    }
 }
--- a/crates/router/tests/client_connections.rs
+++ b/crates/router/tests/client_connections.rs
@@ -3,7 +3,7 @@
 mod common;
 mod platform_support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::{
     endpoint_entry, run_test, test_settings, Behaviour, Client, FakeServer, Observation, RawClient,
@@ -96,14 +96,16 @@
 }
 
 /// The number of client connections is limited, which bounds file descriptors and memory. Idle
-/// connections are evicted, so that they do not keep active clients out.
+/// connections are evicted, so that they do not keep active clients out. Guards against requests
+/// that wait unread until their time is over: clients may use all connections on one frontend, and
+/// beyond the limit they are rejected at once.
 #[test]
 fn client_connections_are_limited_and_idle_ones_are_evicted() {
     run_test(async {
         let (prefill, _decode, router) = start_router_with_lane(Behaviour::Answer).await;
-        // Of 64 descriptors, 32 are reserved. Half of the rest is for clients, and two frontends
-        // share that half.
-        const CONNECTION_LIMIT: usize = 8;
+        // Of 64 descriptors, 32 are reserved. Half of the rest is for clients. The other frontend
+        // holds one of these for the next client that it accepts.
+        const CONNECTION_LIMIT: usize = 15;
         let mut idle_client = Client::connect(router.platform).await;
         assert_eq!(idle_client.get("/up").await.0, 200);
         let mut silent_clients = Vec::new();
@@ -112,8 +114,8 @@
         }
         let mut client = Client::connect(router.platform).await;
         assert_eq!(client.send_chat("k0", "order", 5_000).await.0, 200);
-        // Connections whose requests are being answered keep their permits, so that one more client
-        // has to wait.
+        // Connections whose requests are being answered keep their permits, so that one more request
+        // is rejected. It is not read much later, when its time may be over.
         prefill.behaviour.set(Behaviour::Hang);
         let mut pending_requests = Vec::new();
         for n in 0..CONNECTION_LIMIT {
@@ -125,15 +127,23 @@
         prefill
             .wait_until(|seen| seen.len() >= CONNECTION_LIMIT)
             .await;
+        for n in 0..3 * CONNECTION_LIMIT {
+            let sent_at = Instant::now();
+            let mut client = Client::connect(router.platform).await;
+            let (status, headers, _) = client.send_chat(&format!("x{n}"), "order", 5_000).await;
+            assert_eq!(status, 503, "x{n} after {:?}", sent_at.elapsed());
+            assert_eq!(headers["connection"], "close");
+            assert!(sent_at.elapsed() < Duration::from_millis(600));
+        }
+        // The router is ready all the same.
         let mut client = Client::connect(router.platform).await;
-        let waiting_request = spawn_local(async move { client.get("/up").await.0 });
-        tokio::time::sleep(Duration::from_millis(200)).await;
-        assert!(
-            !waiting_request.is_finished()
-                && pending_requests.iter().all(|task| !task.is_finished())
-        );
+        assert_eq!(client.get("/up").await.0, 200);
+        assert!(pending_requests.iter().all(|task| !task.is_finished()));
         pending_requests.pop().unwrap().abort();
-        assert_eq!(waiting_request.await.unwrap(), 200);
+        prefill.behaviour.set(Behaviour::Prefill);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let mut client = Client::connect(router.platform).await;
+        assert_eq!(client.send_chat("k1", "order", 5_000).await.0, 200);
     });
 }
 
--- a/crates/router/tests/platform_support/mod.rs
+++ b/crates/router/tests/platform_support/mod.rs
@@ -12,8 +12,8 @@
 pub(crate) async fn start_router_with_lane(
     decode_behaviour: Behaviour,
 ) -> (Rc<FakeServer>, Rc<FakeServer>, TestRouter) {
-    let prefill = FakeServer::start(8, Behaviour::Prefill).await;
-    let decode = FakeServer::start(8, decode_behaviour).await;
+    let prefill = FakeServer::start(64, Behaviour::Prefill).await;
+    let decode = FakeServer::start(64, decode_behaviour).await;
     let router = TestRouter::start(vec![
         endpoint_entry(&prefill, "reader", "up"),
         endpoint_entry(&decode, "writer", "up"),
--- a/crates/router/tests/shutdown.rs
+++ b/crates/router/tests/shutdown.rs
@@ -186,12 +186,25 @@
 /// Guards against a request that waits in the accept queue and is reset with the listener.
 #[test]
 fn a_request_in_the_accept_queue_at_the_end_of_the_accept_window_is_rejected() {
-    /// Of 64 descriptors, 32 are reserved. Half of the rest is for clients, and two frontends share
-    /// that half.
-    const CONNECTION_LIMIT: usize = 8;
+    /// Of 64 descriptors, 32 are reserved. Half of the rest is for clients. The other frontend holds
+    /// one of these for the next client that it accepts.
+    const CONNECTION_LIMIT: usize = 15;
     for api in [Api::Platform, Api::Inference] {
         run_test_with_paused_clock(async {
-            let (server, mut router) = start_router(Behaviour::Hang, false).await;
+            let servers = [
+                FakeServer::start(8, Behaviour::Hang).await,
+                FakeServer::start(8, Behaviour::Hang).await,
+            ];
+            let entries = servers
+                .iter()
+                .map(|server| endpoint_entry(server, "mixed", "up"));
+            let mut router = TestRouter::start(entries.collect()).await;
+            let count_started = || -> usize {
+                servers
+                    .iter()
+                    .map(|server| server.count_started(CHAT_PATH))
+                    .sum()
+            };
             let mut clients = Vec::new();
             for number in 0..=CONNECTION_LIMIT {
                 let mut client = ManualConnection::connect(api.address(&router)).await;
@@ -199,14 +212,15 @@
                 client.send(&request).await;
                 clients.push(client);
             }
-            let started = |seen: &[Observation]| seen.len() >= CONNECTION_LIMIT;
-            server.wait_until(started).await;
+            while count_started() < CONNECTION_LIMIT {
+                sleep(Duration::from_millis(1)).await;
+            }
             router.shutdown_sender.take().unwrap().send(()).unwrap();
             let mut queued = clients.pop().unwrap();
             let (received, end) = queued.read_to_end().await;
             assert!(received.starts_with("HTTP/1.1 503 "), "{received:?}");
             assert_eq!(end, ConnectionEnd::Closed);
-            assert_eq!(server.count_started(CHAT_PATH), CONNECTION_LIMIT);
+            assert_eq!(count_started(), CONNECTION_LIMIT);
             drop(clients);
             router.stopped.await.unwrap();
         });
