Count the deadline of a request from when it was read, not from when it begins

Cause: a request that is read behind another one waits for the response before it, in the buffer or in the HTTP library, and its deadline was counted from its turn. Change: Pipeline records when each request was complete (64 reads at most); both frontends count from then, and answer a request whose deadline has passed without sending it.

--- a/crates/router/src/frontend/body.rs
+++ b/crates/router/src/frontend/body.rs
@@ -88,6 +88,8 @@
     pub(super) phase: watch::Receiver<Phase>,
     /// When the whole body must have arrived.
     pub(super) deadline: Instant,
+    /// When the whole request was received.
+    pub(super) received_at: Instant,
     /// Whether the request has both `Content-Length` and `Transfer-Encoding`.
     pub(super) has_ambiguous_length: bool,
     /// Whether the client waits for `100 Continue` before it sends the body.
@@ -99,6 +101,13 @@
 }
 
 impl RequestBody {
+    /// Returns when the whole request was received, which is when its client's deadline begins. It
+    /// may have waited since for the response to another request on the connection. A request that
+    /// is still arriving counts as received when its head was read.
+    pub fn received_at(&self) -> Instant {
+        self.received_at
+    }
+
     /// Reads and decompresses the whole body. The caller must keep the reservation for as long as
     /// it keeps the bytes.
     ///
--- a/crates/router/src/frontend/client_stream.rs
+++ b/crates/router/src/frontend/client_stream.rs
@@ -125,7 +125,7 @@
         ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf))?;
         let bytes = &buf.filled()[before..];
         self.state
-            .update_pipeline(|pipeline| pipeline.read_directly(bytes));
+            .update_pipeline(|pipeline| pipeline.read_directly(bytes, Instant::now()));
         Poll::Ready(Ok(()))
     }
 
--- a/crates/router/src/frontend/connection_state.rs
+++ b/crates/router/src/frontend/connection_state.rs
@@ -139,7 +139,7 @@
         let fits = self.fits_read_ahead(bytes.len());
         self.update_pipeline(|pipeline| {
             if fits && !pipeline.has_overflowed() {
-                pipeline.buffer(bytes);
+                pipeline.buffer(bytes, Instant::now());
             } else {
                 pipeline.discard(bytes);
             }
--- a/crates/router/src/frontend/connections.rs
+++ b/crates/router/src/frontend/connections.rs
@@ -243,8 +243,14 @@
             Activity::Receiving(since) => since,
             Activity::ReceivingBody | Activity::Answering | Activity::Idle(_) => Instant::now(),
         };
+        let admission = self.0.update_pipeline(Pipeline::begin_request);
         RequestGuard {
-            admission: self.0.update_pipeline(Pipeline::begin_request),
+            admission,
+            received_at: self
+                .0
+                .pipeline()
+                .completed_at()
+                .unwrap_or_else(Instant::now),
             state: self.0.clone(),
             body_deadline: since + self.0.limits().request_timeout,
         }
@@ -278,6 +284,7 @@
 pub(crate) struct RequestGuard {
     state: Rc<ConnectionState>,
     admission: Admission,
+    received_at: Instant,
     body_deadline: Instant,
 }
 
@@ -287,6 +294,12 @@
         self.admission
     }
 
+    /// Returns when the whole request was received. It may have waited since for the response to the
+    /// request before it. A request that is still arriving counts as received when it began.
+    pub(crate) fn received_at(&self) -> Instant {
+        self.received_at
+    }
+
     /// Returns when the whole request must have arrived.
     pub(crate) fn body_deadline(&self) -> Instant {
         self.body_deadline
--- a/crates/router/src/frontend/inference/service.rs
+++ b/crates/router/src/frontend/inference/service.rs
@@ -176,7 +176,10 @@
         if head.method != Method::POST {
             return Err(RequestError::MethodNotAllowed("POST"));
         }
-        let context = self.open_request(id, &head, route.endpoint())?;
+        let context = self.open_request(id, &head, route.endpoint(), body.received_at())?;
+        if context.deadline <= Instant::now() {
+            return Err(RequestError::DeadlineExceeded);
+        }
         let (body, reservation) = body
             .read_to_end(
                 Some(&head.headers),
@@ -220,12 +223,14 @@
         Ok(json_response(ResponseBody::full(text)))
     }
 
-    /// Decodes and authenticates the head of a request, and marks its id as in use.
+    /// Decodes and authenticates the head of a request, and marks its id as in use. The deadline is
+    /// counted from `received_at`.
     fn open_request(
         &self,
         id: Rc<str>,
         head: &RequestHead,
         endpoint: ApiEndpoint,
+        received_at: Instant,
     ) -> Result<RequestContext, RequestError> {
         let time_to_first_byte = match header(head, DEADLINE_HEADER)?.map(str::parse::<u32>) {
             None => Duration::from_millis(self.setup.endpoint(endpoint).deadline_ms.into()),
@@ -247,7 +252,7 @@
             session,
             query: query.map_or(String::new(), |query| format!("?{query}")),
             idempotency_key: head.headers.get(IDEMPOTENCY_KEY).cloned(),
-            deadline: Instant::now() + time_to_first_byte,
+            deadline: received_at + time_to_first_byte,
         })
     }
 
--- a/crates/router/src/frontend/pipeline.rs
+++ b/crates/router/src/frontend/pipeline.rs
@@ -8,14 +8,28 @@
 //! [`Pipeline`] alone decides which requests are served, which are rejected, and whether another
 //! response is owed.
 
+use std::collections::VecDeque;
+
 use bytes::{Buf, BytesMut};
 use tokio::io::ReadBuf;
+use tokio::time::Instant;
 
 use crate::framing::Framing;
 
 /// The request that the HTTP library reads in place of a discarded one.
 const PLACEHOLDER: &[u8] = b"GET / HTTP/1.1\r\nhost: discarded\r\n\r\n";
 
+/// Maximum number of arrivals that are recorded. Requests beyond count as arrived with the last one.
+const MAX_ARRIVALS: usize = 64;
+
+/// The requests that a read has completed.
+#[derive(Debug, Clone, Copy)]
+struct Arrival {
+    /// Number of requests of the connection that are complete.
+    completed: u64,
+    at: Instant,
+}
+
 /// The progress of the current request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Progress {
@@ -60,6 +74,8 @@
     /// The tracker of the bytes that the HTTP library has read.
     delivered: Framing,
     buffer: BytesMut,
+    /// When the requests that have not begun were complete, in order.
+    arrivals: VecDeque<Arrival>,
     /// Number of requests that the HTTP library has begun.
     begun: u64,
     /// While the pipeline overflows, the number of the last request that is served.
@@ -74,6 +90,7 @@
             received: Framing::of_requests(),
             delivered: Framing::of_requests(),
             buffer: BytesMut::new(),
+            arrivals: VecDeque::new(),
             begun: 0,
             served_until: None,
             is_body_incomplete: false,
@@ -83,17 +100,32 @@
 
 impl Pipeline {
     /// Records bytes that the HTTP library has read from the socket.
-    pub(super) fn read_directly(&mut self, bytes: &[u8]) {
-        self.received.push(bytes);
+    pub(super) fn read_directly(&mut self, bytes: &[u8], now: Instant) {
+        self.receive(bytes, now);
         self.delivered.push(bytes);
     }
 
     /// Buffers bytes that were read ahead.
-    pub(super) fn buffer(&mut self, bytes: &[u8]) {
-        self.received.push(bytes);
+    pub(super) fn buffer(&mut self, bytes: &[u8], now: Instant) {
+        self.receive(bytes, now);
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Tracks bytes that were read from the socket and are not discarded.
+    fn receive(&mut self, bytes: &[u8], now: Instant) {
+        let completed_before = self.received.heads_at_last_end();
+        self.received.push(bytes);
+        let completed = self.received.heads_at_last_end();
+        if completed == completed_before {
+            return;
+        }
+        let is_full = self.arrivals.len() == MAX_ARRIVALS;
+        match self.arrivals.back_mut() {
+            Some(last) if is_full => last.completed = completed,
+            _ => self.arrivals.push_back(Arrival { completed, at: now }),
+        }
+    }
+
     /// Returns the number of bytes that are buffered.
     pub(super) fn buffered_bytes(&self) -> usize {
         self.buffer.len()
@@ -181,9 +213,19 @@
         self.is_body_incomplete = true;
     }
 
+    /// Returns when the current request was complete; `None` if it is not complete yet.
+    pub(super) fn completed_at(&self) -> Option<Instant> {
+        let arrival = self.arrivals.front()?;
+        (arrival.completed >= self.begun).then_some(arrival.at)
+    }
+
     /// Records that the HTTP library has read the head of the next request.
     pub(super) fn begin_request(&mut self) -> Admission {
         self.begun += 1;
+        let is_before = |arrival: &Arrival| arrival.completed < self.begun;
+        while self.arrivals.front().is_some_and(is_before) {
+            self.arrivals.pop_front();
+        }
         self.is_body_incomplete = false;
         match self.served_until {
             Some(served) if self.begun > served => Admission::Rejected,
--- a/crates/router/src/frontend/pipeline/tests.rs
+++ b/crates/router/src/frontend/pipeline/tests.rs
@@ -22,12 +22,12 @@
 #[test]
 fn a_request_that_is_discarded_is_replaced_by_a_placeholder_and_rejected() {
     let mut pipeline = Pipeline::default();
-    pipeline.read_directly(&request('a'));
+    pipeline.read_directly(&request('a'), Instant::now());
     assert_eq!(pipeline.begin_request(), Admission::Served);
     let second = request('b');
     let third = request('c');
-    pipeline.buffer(&second);
-    pipeline.buffer(&third[..60]);
+    pipeline.buffer(&second, Instant::now());
+    pipeline.buffer(&third[..60], Instant::now());
     pipeline.discard(&third[60..]);
     pipeline.discard(&request('d')[..80]);
     let delivered = deliver(&mut pipeline, Progress::Answering);
@@ -48,7 +48,7 @@
     pipeline.discard(&request('d')[80..]);
     let socket = (Delivery::Socket, nothing);
     assert_eq!(deliver(&mut pipeline, Progress::NotBegun), socket);
-    pipeline.read_directly(&request('e'));
+    pipeline.read_directly(&request('e'), Instant::now());
     assert_eq!(pipeline.begin_request(), Admission::Served);
     assert!(pipeline.is_idle() && !pipeline.is_last_request());
 }
@@ -60,7 +60,10 @@
     let mut pipeline = Pipeline::default();
     let second = request('b');
     let (head_and_start, rest) = second.split_at(second.len() - 90);
-    pipeline.read_directly(&[request('a'), head_and_start.to_vec()].concat());
+    pipeline.read_directly(
+        &[request('a'), head_and_start.to_vec()].concat(),
+        Instant::now(),
+    );
     assert_eq!(pipeline.begin_request(), Admission::Served);
     pipeline.discard(rest);
     pipeline.discard(&request('c'));
@@ -79,7 +82,7 @@
 #[test]
 fn bytes_that_are_discarded_are_not_kept() {
     let mut pipeline = Pipeline::default();
-    pipeline.read_directly(&request('a'));
+    pipeline.read_directly(&request('a'), Instant::now());
     pipeline.begin_request();
     for _ in 0..100 {
         pipeline.discard(&[b'x'; 4_096]);
@@ -89,3 +92,23 @@
     let delivered = deliver(&mut pipeline, Progress::Answering);
     assert_eq!(delivered, (Delivery::AfterResponse, Vec::new()));
 }
+
+/// Guards against a deadline that is passed on in full although its request has waited.
+#[test]
+fn a_request_counts_from_when_it_was_complete_and_not_from_when_it_begins() {
+    let start = Instant::now();
+    let at = |seconds| start + std::time::Duration::from_secs(seconds);
+    let mut pipeline = Pipeline::default();
+    pipeline.read_directly(&request('a'), at(0));
+    let third = request('c');
+    pipeline.buffer(&[request('b'), third[..20].to_vec()].concat(), at(1));
+    pipeline.buffer(&third[20..130], at(2));
+    for completed_at in [Some(at(0)), Some(at(1)), None] {
+        pipeline.begin_request();
+        assert_eq!(pipeline.completed_at(), completed_at);
+    }
+    for second in 3..200 {
+        pipeline.buffer(&request('x'), at(second));
+    }
+    assert_eq!(pipeline.arrivals.len(), MAX_ARRIVALS);
+}
--- a/crates/router/src/frontend/platform.rs
+++ b/crates/router/src/frontend/platform.rs
@@ -75,10 +75,16 @@
         request: Request<RequestBody>,
     ) -> Result<Response<ResponseBody>, RequestError> {
         let (head, body) = request.into_parts();
+        let received_at = body.received_at();
         let (body, _reservation) = body
             .read_to_end(None, REQUEST_BODY_LIMIT, &self.budget)
             .await?;
-        let incoming = decode(&head, body, &self.class_names)?;
+        let mut incoming = decode(&head, body, &self.class_names)?;
+        let waited = received_at.elapsed();
+        if waited > Duration::ZERO && waited >= incoming.time_to_first_byte {
+            return Err(RequestError::DeadlinePassed);
+        }
+        incoming.time_to_first_byte -= waited;
         let (response, disconnect_guard) = self.handle.submit(incoming).response().await;
         Ok(match response {
             FinalResponse::Streaming { media_type, body } => {
@@ -143,6 +149,8 @@
     InvalidHeader(&'static str),
     #[error("the class {0:?} is not known")]
     UnknownClass(String),
+    #[error("refused: the deadline has passed")]
+    DeadlinePassed,
     #[error(transparent)]
     Body(#[from] BodyError),
 }
@@ -151,6 +159,7 @@
     fn into_response(self) -> Response<ResponseBody> {
         let status = match self {
             RequestError::Body(error) => error.status(),
+            RequestError::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
             RequestError::MissingHeader(_)
             | RequestError::InvalidHeader(_)
             | RequestError::UnknownClass(_) => StatusCode::BAD_REQUEST,
