Test: many connections with large bodies stay within the memory

The program with 64 MB and 1,024 descriptors, inference API on: 341 clients send 250 kB each to the platform API at once. Each client gets 200 or 503.

--- a/crates/router/tests/memory.rs
+++ b/crates/router/tests/memory.rs
@@ -45,7 +45,7 @@
     let inference_listen = free_address();
     let mut config = config_file(discovery, test_settings());
     config["listen"] = listen.to_string().into();
-    config["limits"] = json!({"sockets": 256, "memory_mb": MEMORY_MB});
+    config["limits"] = json!({"sockets": 1_024, "memory_mb": MEMORY_MB});
     std::fs::create_dir_all(folder).unwrap();
     let [config_path, inference_path] =
         ["config.json", "inference.toml"].map(|name| folder.join(name));
@@ -180,3 +180,49 @@
     ];
     check_memory("batches", bodies);
 }
+
+/// Guards against a router that is ended for its memory as many clients send large bodies to the
+/// platform API: beyond its share of the memory, requests are rejected.
+#[test]
+fn many_connections_with_large_bodies_stay_within_the_memory_limit() {
+    /// A third of the program's descriptors.
+    const CONNECTIONS: usize = 1_024 / 3;
+    const BODY_BYTES: usize = 250_000;
+    run_test(async {
+        let server = FakeServer::start(64, Behaviour::Answer).await;
+        server.service_time.set(Duration::from_millis(100));
+        let discovery = FakeDiscovery::start(vec![endpoint_entry(&server, "mixed", "up")]).await;
+        let folder = std::env::temp_dir().join(format!("cranetack-many-{}", std::process::id()));
+        let listen = free_address();
+        let (program, _) = start_program(&folder, discovery.address, listen);
+        while TcpStream::connect(listen).await.is_err()
+            || Client::connect(listen).await.get("/up").await.0 != 200
+        {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let body = "x".repeat(BODY_BYTES);
+        let mut clients = Vec::new();
+        for number in 0..CONNECTIONS {
+            let head = format!(
+                "POST {CHAT} HTTP/1.1\r\nhost: app\r\nconnection: close\r\nx-request-id: m{number}\r\n\
+                 x-class: chat\r\nx-deadline-ms: 6000\r\ncontent-length: {BODY_BYTES}\r\n\r\n"
+            );
+            let body = body.clone();
+            clients.push(spawn_local(async move {
+                let mut client = RawClient::connect(listen).await;
+                client.exchange(&[head.as_bytes(), body.as_bytes()]).await
+            }));
+        }
+        for client in clients {
+            let response = client.await.unwrap();
+            let is_answered = ["200", "503"]
+                .iter()
+                .any(|status| response.starts_with(&format!("HTTP/1.1 {status} ")));
+            assert!(is_answered, "{response:.200}");
+        }
+        let peak = peak_memory_bytes(program.0.id());
+        assert!(peak <= MEMORY_MB * 1_000_000, "{} MB", peak / 1_000_000);
+        drop(program);
+        std::fs::remove_dir_all(&folder).unwrap();
+    });
+}
