Begin the deadline of a slowly sent request with its last byte

Seen on rereading, and then in a test: a request whose body takes 1 s to arrive was sent on with 3,999 ms of 5,000. Cause: a request that was not complete when it began counted as received at that moment, and the platform API then subtracted the time in which its body arrived. Clients that write slowly would have been refused or cut short. Change: only the wait of a complete request behind another one is subtracted (RequestBody::waited). Test: disconnects.rs, the_deadline_of_a_slowly_sent_request_begins_with_its_last_byte; failed before this commit with 3999 ms.

--- a/crates/router/src/frontend/body.rs
+++ b/crates/router/src/frontend/body.rs
@@ -88,8 +88,8 @@
     pub(super) phase: watch::Receiver<Phase>,
     /// When the whole body must have arrived.
     pub(super) deadline: Instant,
-    /// When the whole request was received.
-    pub(super) received_at: Instant,
+    /// For how long the complete request has waited before it began.
+    pub(super) waited: Duration,
     /// Whether the request has both `Content-Length` and `Transfer-Encoding`.
     pub(super) has_ambiguous_length: bool,
     /// Whether the client waits for `100 Continue` before it sends the body.
@@ -101,11 +101,11 @@
 }
 
 impl RequestBody {
-    /// Returns when the whole request was received, which is when its client's deadline begins. It
-    /// may have waited since for the response to another request on the connection. A request that
-    /// is still arriving counts as received when its head was read.
-    pub fn received_at(&self) -> Instant {
-        self.received_at
+    /// Returns for how long the complete request has waited for the responses to the requests before
+    /// it on the connection. Its client's deadline has been running meanwhile. A request that is
+    /// still arriving has not waited, as its deadline begins with its last byte.
+    pub fn waited(&self) -> Duration {
+        self.waited
     }
 
     /// Reads and decompresses the whole body. The caller must keep the reservation for as long as
--- a/crates/router/src/frontend/connection_server.rs
+++ b/crates/router/src/frontend/connection_server.rs
@@ -168,7 +168,7 @@
             body,
             phase: self.phase.clone(),
             deadline: guard.body_deadline(),
-            received_at: guard.received_at(),
+            waited: guard.waited(),
             has_ambiguous_length: self.request_tracker.has_ambiguous_length(),
             expects_continue,
             is_rejected: self.is_rejecting,
--- a/crates/router/src/frontend/connections.rs
+++ b/crates/router/src/frontend/connections.rs
@@ -244,13 +244,10 @@
             Activity::ReceivingBody | Activity::Answering | Activity::Idle(_) => Instant::now(),
         };
         let admission = self.0.update_pipeline(Pipeline::begin_request);
+        let waited = self.0.pipeline().completed_at().map(|at| at.elapsed());
         RequestGuard {
             admission,
-            received_at: self
-                .0
-                .pipeline()
-                .completed_at()
-                .unwrap_or_else(Instant::now),
+            waited: waited.unwrap_or_default(),
             state: self.0.clone(),
             body_deadline: since + self.0.limits().request_timeout,
         }
@@ -284,7 +281,7 @@
 pub(crate) struct RequestGuard {
     state: Rc<ConnectionState>,
     admission: Admission,
-    received_at: Instant,
+    waited: Duration,
     body_deadline: Instant,
 }
 
@@ -294,10 +291,10 @@
         self.admission
     }
 
-    /// Returns when the whole request was received. It may have waited since for the response to the
-    /// request before it. A request that is still arriving counts as received when it began.
-    pub(crate) fn received_at(&self) -> Instant {
-        self.received_at
+    /// Returns for how long the complete request has waited for the responses to the requests before
+    /// it. A request that is still arriving has not waited.
+    pub(crate) fn waited(&self) -> Duration {
+        self.waited
     }
 
     /// Returns when the whole request must have arrived.
--- a/crates/router/src/frontend/inference/service.rs
+++ b/crates/router/src/frontend/inference/service.rs
@@ -176,8 +176,9 @@
         if head.method != Method::POST {
             return Err(RequestError::MethodNotAllowed("POST"));
         }
-        let context = self.open_request(id, &head, route.endpoint(), body.received_at())?;
-        if context.deadline <= Instant::now() {
+        let waited = body.waited();
+        let context = self.open_request(id, &head, route.endpoint(), waited)?;
+        if !waited.is_zero() && context.deadline <= Instant::now() {
             return Err(RequestError::DeadlineExceeded);
         }
         let (body, reservation) = body
@@ -223,14 +224,14 @@
         Ok(json_response(ResponseBody::full(text)))
     }
 
-    /// Decodes and authenticates the head of a request, and marks its id as in use. The deadline is
-    /// counted from `received_at`.
+    /// Decodes and authenticates the head of a request, and marks its id as in use. `waited` is
+    /// the part of its deadline that has passed already.
     fn open_request(
         &self,
         id: Rc<str>,
         head: &RequestHead,
         endpoint: ApiEndpoint,
-        received_at: Instant,
+        waited: Duration,
     ) -> Result<RequestContext, RequestError> {
         let time_to_first_byte = match header(head, DEADLINE_HEADER)?.map(str::parse::<u32>) {
             None => Duration::from_millis(self.setup.endpoint(endpoint).deadline_ms.into()),
@@ -252,7 +253,7 @@
             session,
             query: query.map_or(String::new(), |query| format!("?{query}")),
             idempotency_key: head.headers.get(IDEMPOTENCY_KEY).cloned(),
-            deadline: received_at + time_to_first_byte,
+            deadline: Instant::now() + time_to_first_byte.saturating_sub(waited),
         })
     }
 
--- a/crates/router/src/frontend/platform.rs
+++ b/crates/router/src/frontend/platform.rs
@@ -75,13 +75,12 @@
         request: Request<RequestBody>,
     ) -> Result<Response<ResponseBody>, RequestError> {
         let (head, body) = request.into_parts();
-        let received_at = body.received_at();
+        let waited = body.waited();
         let (body, _reservation) = body
             .read_to_end(None, REQUEST_BODY_LIMIT, &self.budget)
             .await?;
         let mut incoming = decode(&head, body, &self.class_names)?;
-        let waited = received_at.elapsed();
-        if waited > Duration::ZERO && waited >= incoming.time_to_first_byte {
+        if !waited.is_zero() && waited >= incoming.time_to_first_byte {
             return Err(RequestError::DeadlinePassed);
         }
         incoming.time_to_first_byte -= waited;
--- a/crates/router/tests/disconnects.rs
+++ b/crates/router/tests/disconnects.rs
@@ -270,8 +270,7 @@
             let response = format!("{STREAM_HEAD}{}{LAST_CHUNK}", encode_chunk(DONE_EVENT));
             attempt.send(&response).await;
             let (mut attempt, seen) = server.accept_request().await;
-            let deadline = seen.split("x-deadline-ms: ").nth(1).unwrap_or_default();
-            let deadline: u64 = deadline.split("\r\n").next().unwrap().parse().unwrap();
+            let deadline = told_deadline_ms(&seen);
             assert!((3_500..=4_000).contains(&deadline), "{deadline} ms");
             attempt.send(&response).await;
             client
@@ -284,3 +283,30 @@
         }
     });
 }
+
+/// Guards against a deadline that is shortened by the time in which the body arrives: it begins
+/// when the client has sent the last byte.
+#[test]
+fn the_deadline_of_a_slowly_sent_request_begins_with_its_last_byte() {
+    run_test(async {
+        let server = ManualServer::start().await;
+        let mut settings = test_settings();
+        settings["domain"]["ahead"] = false.into();
+        let entries = vec![server.endpoint_entry("mixed", "up")];
+        let router = TestRouter::start_with_settings(entries, settings).await;
+        let mut client = ManualConnection::connect(router.platform).await;
+        let slow = request("slow", 1_000);
+        client.send(&slow[..slow.len() - 500]).await;
+        sleep(Duration::from_millis(1_000)).await;
+        client.send(&slow[slow.len() - 500..]).await;
+        let (_attempt, seen) = server.accept_request().await;
+        let deadline = told_deadline_ms(&seen);
+        assert!((4_500..=5_000).contains(&deadline), "{deadline} ms");
+    });
+}
+
+/// Returns the deadline that a request to an endpoint states, in milliseconds.
+fn told_deadline_ms(request: &str) -> u64 {
+    let deadline = request.split("x-deadline-ms: ").nth(1).unwrap_or_default();
+    deadline.split("\r\n").next().unwrap().parse().unwrap()
+}
