End the shutdown although a client's requests were miscounted

A client that sends a line of over 128 bytes, such as a padded Content-Length, makes the router count more requests than the HTTP library reads: framing.rs parses the first 128 bytes of a line only. The connection then seemed to owe a response for ever, was never idle, and the shutdown did not end until SIGKILL.

Pipeline::deliver takes the library's count when no request is in progress: all that it has read has begun.

The test a_client_whose_requests_are_miscounted_does_not_delay_the_shutdown fails on ("the router did not stop"), and passes with the change. chat_request moves to platform_support, as another test file needs it.

--- a/crates/router/src/frontend/pipeline.rs
+++ b/crates/router/src/frontend/pipeline.rs
@@ -157,6 +157,11 @@
 
     /// Delivers the next bytes to the HTTP library.
     pub(super) fn deliver(&mut self, buf: &mut ReadBuf<'_>, progress: Progress) -> Delivery {
+        if progress == Progress::NotBegun {
+            // The library has begun all requests that it has read. If it has found fewer of them
+            // than were counted here, the others are none.
+            self.begun = self.delivered.heads();
+        }
         if !self.buffer.is_empty() {
             self.deliver_buffered(buf);
             return Delivery::Copied;
--- a/crates/router/tests/platform_support/mod.rs
+++ b/crates/router/tests/platform_support/mod.rs
@@ -7,6 +7,9 @@
 
 /// The path of the chat completions.
 pub(crate) const CHAT_PATH: &str = "/v1/chat/completions";
+/// A body that is valid on both APIs.
+pub(crate) const CHAT_BODY: &str =
+    r#"{"model":"m","stream":true,"messages":[{"role":"user","content":"x"}]}"#;
 
 /// Starts a prefill endpoint, a decode endpoint with `decode_behaviour`, and a router for them.
 pub(crate) async fn start_router_with_lane(
@@ -37,3 +40,12 @@
         })
         .count()
 }
+
+/// Returns a chat request. `headers` are further header lines, each with its line end.
+pub(crate) fn chat_request(id: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {CHAT_PATH} HTTP/1.1\r\nhost: app\r\nx-request-id: {id}\r\nx-class: order\r\n\
+         x-deadline-ms: 5000\r\n{headers}content-length: {length}\r\n\r\n{body}"
+    )
+}
--- a/crates/router/tests/shutdown.rs
+++ b/crates/router/tests/shutdown.rs
@@ -1,6 +1,8 @@
 //! Requests and streams that cross the phases of a graceful shutdown.
 
 mod common;
+#[path = "platform_support/mod.rs"]
+mod platform_support;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,12 +14,11 @@
     DONE_EVENT, LAST_CHUNK, STREAM_HEAD,
 };
 use cranetack_router::shutdown::ACCEPT_WINDOW;
+use platform_support::{chat_request, CHAT_BODY};
 use serde_json::Value;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 const CHAT_PATH: &str = "/v1/chat/completions";
-/// A body that is valid on both APIs.
-const CHAT_BODY: &str = r#"{"model":"m","stream":true,"messages":[{"role":"user","content":"x"}]}"#;
 /// Time between the end of the accept window and an event shortly before or after it.
 const MARGIN: Duration = Duration::from_millis(300);
 
@@ -55,15 +56,6 @@
     (server, router)
 }
 
-/// Returns a chat request. `headers` are further header lines, each with its line end.
-fn chat_request(id: &str, headers: &str, body: &str) -> String {
-    let length = body.len();
-    format!(
-        "POST {CHAT_PATH} HTTP/1.1\r\nhost: app\r\nx-request-id: {id}\r\nx-class: order\r\n\
-         x-deadline-ms: 5000\r\n{headers}content-length: {length}\r\n\r\n{body}"
-    )
-}
-
 /// Sends the head and half of the body of a chat request, starts the shutdown, and sends the rest of
 /// the body after `delay`. Returns what the client received, and how its connection ended. The rest
 /// of the body is sent in any case, as a client does that reads only afterwards.
@@ -382,3 +374,24 @@
         router.stopped.await.unwrap();
     });
 }
+
+/// Guards against a shutdown that does not end: the router and the HTTP library may count the
+/// requests of a client differently if it sends a very long line.
+#[test]
+fn a_client_whose_requests_are_miscounted_does_not_delay_the_shutdown() {
+    run_test_with_paused_clock(async {
+        let (_server, mut router) = start_router(Behaviour::Answer, false).await;
+        let mut client = ManualConnection::connect(router.platform).await;
+        let padding = " ".repeat(200);
+        let length = format!("content-length:{padding}");
+        let body = "{}\r\n\r\n";
+        let request = chat_request("m1", "", body).replace("content-length: ", &length);
+        client.send(&request).await;
+        client.read_until(LAST_CHUNK).await;
+        router.shutdown_sender.take().unwrap().send(()).unwrap();
+        timeout(ACCEPT_WINDOW + Duration::from_secs(1), router.stopped)
+            .await
+            .expect("the router did not stop")
+            .unwrap();
+    });
+}
