Answer the requests read behind a response that begins during a shutdown

What clients saw: of several requests sent at once, the first got its response with "Connection: close" when SIGTERM had come, the connection was closed, and the others, which the router had read, got none.

set_connection_header said close in each response of a shutdown. It now says so only in the last one that the client is owed; within the accept window the requests behind are served, after it they are rejected with 503.

all_requests_that_were_read_behind_a_stream_are_answered_after_a_shutdown fails on ("a request was not sent on"), and passes with the change.

--- a/crates/router/src/frontend/connection_server.rs
+++ b/crates/router/src/frontend/connection_server.rs
@@ -181,12 +181,13 @@
     /// client send its next request on another connection, and this one need not be closed later.
     /// No response says so whose client is owed further responses.
     fn set_connection_header(&self, response: &mut Response<ResponseBody>) {
-        let is_last = self.is_rejecting || self.request_tracker.is_last_request();
-        if is_last || self.phase.borrow().is_shutting_down() {
+        let owes_responses = self.request_tracker.owes_responses();
+        let is_closing = self.phase.borrow().is_shutting_down() && !owes_responses;
+        if is_closing || self.is_rejecting || self.request_tracker.is_last_request() {
             response
                 .headers_mut()
                 .insert(CONNECTION, HeaderValue::from_static("close"));
-        } else if self.request_tracker.owes_responses() {
+        } else if owes_responses {
             response.headers_mut().remove(CONNECTION);
         }
     }
--- a/crates/router/tests/shutdown.rs
+++ b/crates/router/tests/shutdown.rs
@@ -375,6 +375,51 @@
     });
 }
 
+/// Guards against requests that are read behind a streaming response and get no response, as that
+/// one says `Connection: close`. `docs/design/races.md`.
+#[test]
+fn all_requests_that_were_read_behind_a_stream_are_answered_after_a_shutdown() {
+    run_test_with_paused_clock(async {
+        for is_late in [false, true] {
+            let server = ManualServer::start().await;
+            let mut settings = test_settings();
+            settings["domain"]["ahead"] = false.into();
+            let entries = vec![server.endpoint_entry("mixed", "up")];
+            let mut router = TestRouter::start_with_settings(entries, settings).await;
+            let mut client = ManualConnection::connect(router.platform).await;
+            let requests = ["t1", "t2", "t3"].map(|id| chat_request(id, "", CHAT_BODY));
+            client.send(&requests.concat()).await;
+            let (mut attempt, _) = server.accept_request().await;
+            router.shutdown_sender.take().unwrap().send(()).unwrap();
+            sleep(if is_late {
+                ACCEPT_WINDOW + MARGIN
+            } else {
+                MARGIN
+            })
+            .await;
+            let response = format!("{STREAM_HEAD}{}{LAST_CHUNK}", encode_chunk(DONE_EVENT));
+            attempt.send(&response).await;
+            let expected = if is_late { "503" } else { "200" };
+            for _ in 0..2 {
+                if !is_late {
+                    let accepted = timeout(Duration::from_secs(1), server.accept_request()).await;
+                    let (mut attempt, _) = accepted.expect("a request was not sent on");
+                    attempt.send(&response).await;
+                }
+            }
+            let (received, end) = client.read_to_end().await;
+            let statuses = received.split("HTTP/1.1 ").skip(1).map(|rest| &rest[..3]);
+            assert_eq!(
+                statuses.collect::<Vec<_>>(),
+                ["200", expected, expected],
+                "{received}"
+            );
+            assert_eq!(end, ConnectionEnd::Closed);
+            router.stopped.await.unwrap();
+        }
+    });
+}
+
 /// Guards against a shutdown that does not end: the router and the HTTP library may count the
 /// requests of a client differently if it sends a very long line.
 #[test]
