Find the ends of requests without copying each line

A profile (perf, 3 s) had 75 % of its time in Framing::push: each line was copied into a new buffer, checked as UTF-8, split at its colon, and freed, twice for each byte.

A line that arrives as a whole is now parsed where it lies, and only lines whose first letter can begin one of the two fields that matter are split.

--- a/crates/router/src/framing.rs
+++ b/crates/router/src/framing.rs
@@ -146,22 +146,37 @@
     fn push_line<'a>(&mut self, bytes: &'a [u8]) -> &'a [u8] {
         let line_end = bytes.iter().position(|byte| *byte == b'\n');
         let line_part = &bytes[..line_end.unwrap_or(bytes.len())];
-        let room = LINE_BYTES_LIMIT - self.line.len();
-        self.line.extend(line_part.iter().take(room));
         let Some(line_end) = line_end else {
+            self.store_line_part(line_part);
             return &[];
         };
-        let line = std::mem::take(&mut self.line);
+        if self.line.is_empty() {
+            let length = line_part.len().min(LINE_BYTES_LIMIT);
+            self.finish_line(&line_part[..length]);
+        } else {
+            self.store_line_part(line_part);
+            let line = std::mem::take(&mut self.line);
+            self.finish_line(&line);
+        }
+        &bytes[line_end + 1..]
+    }
+
+    fn store_line_part(&mut self, line_part: &[u8]) {
+        let room = LINE_BYTES_LIMIT - self.line.len();
+        self.line
+            .extend_from_slice(&line_part[..line_part.len().min(room)]);
+    }
+
+    /// Processes a complete line.
+    fn finish_line(&mut self, line: &[u8]) {
         let line = line.trim_ascii();
-        let text = std::str::from_utf8(line).unwrap_or("");
         match self.position {
-            Position::ChunkSize => self.parse_chunk_size(text),
+            Position::ChunkSize => self.parse_chunk_size(text_of(line)),
             Position::Trailer if line.is_empty() => self.position = Position::Head,
             Position::Head if line.is_empty() => self.finish_head(),
-            Position::Head => self.head.parse_line(text),
+            Position::Head => self.head.parse_line(line),
             _ => {}
         }
-        &bytes[line_end + 1..]
     }
 
     fn parse_chunk_size(&mut self, line: &str) {
@@ -262,16 +277,20 @@
 }
 
 impl Head {
-    fn parse_line(&mut self, line: &str) {
+    fn parse_line(&mut self, line: &[u8]) {
         if self.status.is_none() {
-            let status = line
+            let status = text_of(line)
                 .split(' ')
                 .nth(1)
                 .and_then(|status| status.parse().ok());
             self.status = Some(status.unwrap_or(0));
             return;
         }
-        let (name, value) = line.split_once(':').unwrap_or_default();
+        // Most lines are other fields, so their first letter is compared before they are split.
+        if !matches!(line.first(), Some(b'c' | b'C' | b't' | b'T')) {
+            return;
+        }
+        let (name, value) = text_of(line).split_once(':').unwrap_or_default();
         if name.trim().eq_ignore_ascii_case("content-length") {
             // The HTTP library rejects a message whose length is not a number.
             self.content_length = Some(value.trim().parse().unwrap_or(0));
@@ -300,6 +319,11 @@
     }
 }
 
+/// Returns a line as text, which is empty if the line is not UTF-8.
+fn text_of(line: &[u8]) -> &str {
+    std::str::from_utf8(line).unwrap_or("")
+}
+
 /// Skips up to `bytes_left` bytes. Returns how many are left to skip, and the bytes after the
 /// skipped ones.
 fn skip(bytes_left: u64, bytes: &[u8]) -> (u64, &[u8]) {
