Add a program that plays crowds of misbehaving clients at a router

No tool here did that: the soak's faults have a single malformed request at a time.

target/release/crowd starts the router with the memory and descriptors of its options, 15 kinds of clients on a thread of their own, usual clients beside them, and servers whose pace can be set, with SIGHUP, SIGTERM and restarts. It prints the peak memory, descriptors, and the outcomes and times of the usual requests.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,7 @@
 //! the exact sequence of events.
 
 pub mod client;
+pub mod crowd;
 pub mod discovery_server;
 pub mod endpoint_list;
 pub mod environment;
@@ -18,6 +19,7 @@
 pub mod options;
 pub mod oracle;
 pub mod ports;
+pub mod process_usage;
 pub mod router_process;
 pub mod router_settings;
 pub mod run;
--- a/crates/soak/src/router_process.rs
+++ b/crates/soak/src/router_process.rs
@@ -72,7 +72,8 @@
         }
     }
 
-    fn send(self, process: &str) {
+    /// Sends the signal to the process with this id.
+    pub fn send(self, process: &str) {
         let _ = std::process::Command::new("kill")
             .args([self.option(), process])
             .status();
@@ -316,7 +317,7 @@
 }
 
 /// Returns whether the router at an address reports that it is ready.
-async fn is_ready(address: SocketAddr) -> bool {
+pub async fn is_ready(address: SocketAddr) -> bool {
     let response = async {
         let mut stream = TcpStream::connect(address).await.ok()?;
         stream
