Do not execute a non-idempotent request again when its id comes again

The core knew an id only while its request had an attempt in flight. A client that left during a decode, or while its stream was under way, and sent the same request once more on a new connection had it executed again.

Requests that were not executed, and idempotent ones, are served when they come again.

--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -8,6 +8,7 @@
 mod dispatch;
 mod endpoint;
 mod endpoints;
+mod executed_ids;
 pub mod guard;
 mod handle;
 mod messages;
@@ -28,6 +29,7 @@
 pub use clock::Clock;
 pub use endpoint::{Endpoint, EndpointEntry, EndpointListUpdate};
 use endpoints::EndpointTable;
+use executed_ids::ExecutedIds;
 pub use handle::Handle;
 pub use messages::{
     AttemptId, AttemptReport, AttemptSpec, CoreEvent, EndReason, EndpointReport, IncomingRequest,
@@ -50,6 +52,7 @@
     outbound: O,
     endpoints: EndpointTable,
     requests: HashMap<RequestId, Request>,
+    executed_ids: ExecutedIds,
     timers: TimerQueue,
     /// The event with which the policy was told of the router's shutdown, if there is one.
     shutdown: Option<Event>,
@@ -69,6 +72,7 @@
             outbound,
             endpoints: EndpointTable::default(),
             requests: HashMap::new(),
+            executed_ids: ExecutedIds::default(),
             timers: TimerQueue::default(),
             shutdown: None,
             pending_events: VecDeque::new(),
--- a/crates/router/src/core/guard.rs
+++ b/crates/router/src/core/guard.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Returns whether an attempt that has ended may have been executed.
+    pub fn may_have_executed(&self) -> bool {
+        self.first_execution.is_some()
+    }
+
     /// Checks whether the request may be sent to this endpoint now.
     pub fn check_send(
         &self,
--- a/crates/router/src/core/requests.rs
+++ b/crates/router/src/core/requests.rs
@@ -1,6 +1,7 @@
 //! The handling of a request from its arrival to its final response.
 
 use std::cell::Cell;
+use std::collections::hash_map::Entry;
 use std::rc::Rc;
 
 use cranetack_routing_policy::idempotency::{PossibleExecution, RetryRule};
@@ -148,7 +149,14 @@
             .requests
             .values()
             .any(|open| open.incoming.request_id == incoming.request_id);
-        if is_duplicate {
+        let may_have_executed = self.executed_ids.contains(&incoming.request_id);
+        if is_duplicate || may_have_executed {
+            tracing::debug!(
+                request_id = %incoming.request_id,
+                is_open = is_duplicate,
+                may_have_executed,
+                "request not accepted: its id was used before"
+            );
             responder.respond(FinalResponse::DuplicateId);
             return;
         }
@@ -313,11 +321,21 @@
         }
     }
 
-    /// Removes the record of a request that has ended and has no attempt in flight.
+    /// Removes the record of a request that has ended and has no attempt in flight. If the request
+    /// may have been executed and must not be executed twice, its id is remembered: its client may
+    /// have left and send it again.
     pub(super) fn remove_if_done(&mut self, id: RequestId) {
-        let request = self.requests.get(&id);
-        if request.is_some_and(|request| request.is_finished && request.in_flight.is_none()) {
-            self.requests.remove(&id);
+        let Entry::Occupied(entry) = self.requests.entry(id) else {
+            return;
+        };
+        if !entry.get().is_finished || entry.get().in_flight.is_some() {
+            return;
+        }
+        let request = entry.remove();
+        let rule = RetryRule::of(self.settings.classes.get(request.incoming.class.0));
+        let is_idempotent = rule.idempotency() == Idempotency::Idempotent;
+        if !is_idempotent && request.executions.may_have_executed() {
+            self.executed_ids.insert(&request.incoming.request_id);
         }
     }
 }
--- a/crates/router/src/frontend/inference/error.rs
+++ b/crates/router/src/frontend/inference/error.rs
@@ -30,7 +30,7 @@
     DeadlineExceeded,
     /// The request may have been executed, but there is no usable response.
     UpstreamFailed,
-    /// Another request with the same id is open.
+    /// Another request with the same id is open, or may have been executed.
     DuplicateId,
 }
 
@@ -90,7 +90,7 @@
                 409,
                 "id_in_use",
                 Some("X-Request-Id"),
-                "another request with this id is open",
+                "another request with this id is open or may have run",
             ),
         }
     }
--- a/crates/router/src/frontend/platform.rs
+++ b/crates/router/src/frontend/platform.rs
@@ -102,7 +102,7 @@
             }
             FinalResponse::DuplicateId => text_response(
                 StatusCode::CONFLICT,
-                "another request with this id is open\n",
+                "another request with this id is open or may have run\n",
             ),
         })
     }
--- a/crates/router/tests/core.rs
+++ b/crates/router/tests/core.rs
@@ -13,7 +13,7 @@
 };
 use cranetack_router::exchange::{self, FinalResponse, ForwardedRequest};
 use cranetack_routing_policy::{
-    ConnectFailure, EndpointState, Idempotency, Outcome, RequestId, ResetCause,
+    ConnectFailure, EndpointState, Idempotency, KeyScope, Outcome, RequestId, ResetCause,
 };
 use tokio::time::Instant;
 
@@ -432,3 +432,44 @@
         )));
     assert_eq!(harness.outbound.take_calls().len(), 1);
 }
+
+/// Guards against an order that runs twice: its client leaves, and its id comes again.
+#[tokio::test(start_paused = true)]
+async fn an_id_that_comes_again_after_its_client_has_left_is_not_executed_twice() {
+    for (idempotency, is_sent_again) in [
+        (Idempotency::Idempotent, true),
+        (Idempotency::NonIdempotent, false),
+        (Idempotency::Keyed(KeyScope::Cell), false),
+    ] {
+        let mut harness = CoreHarness::new(idempotency);
+        let response = harness.submit_and_prefill();
+        drop(response);
+        harness.handle_pending_events();
+        let again = harness.submit();
+        let while_in_flight = again.response().await.0;
+        assert!(matches!(while_in_flight, FinalResponse::DuplicateId));
+        harness.end_attempt(1, Outcome::Cancelled);
+        harness.outbound.take_calls();
+        let _again = harness.submit();
+        let sent = |call: &Call| matches!(call, Call::Send(..));
+        assert_eq!(
+            harness.outbound.take_calls().iter().any(sent),
+            is_sent_again,
+            "{idempotency:?}"
+        );
+    }
+}
+
+/// An id whose request was not executed may come again.
+#[tokio::test(start_paused = true)]
+async fn an_id_that_was_not_executed_is_served_when_it_comes_again() {
+    let mut harness = CoreHarness::new(Idempotency::NonIdempotent);
+    let response = harness.submit();
+    drop(response);
+    harness.handle_pending_events();
+    harness.end_attempt(0, Outcome::Cancelled);
+    harness.outbound.take_calls();
+    let _again = harness.submit();
+    let sent = |call: &Call| matches!(call, Call::Send(..));
+    assert!(harness.outbound.take_calls().iter().any(sent));
+}
