Wait for an endpoint that writes its response slowly

WireProgress counted a chunk that was not continued for 1 s as stalled, and a head that was not complete 1 s after its first byte, and both ended the attempt. A stream in progress was broken off with its client waiting for the rest, and without `domain.resume` it was lost.

Once a response is passed on, only the idle timeout ends it (4 s, or 4.5 s where it cannot be resumed, below the 5 s that clients wait), counted from the last byte that arrived and not from the last chunk. Before that, 1 s without a byte within a head or a chunk still ends the attempt, so that a retry is possible.

--- a/crates/router/src/upstream/attempt/relay.rs
+++ b/crates/router/src/upstream/attempt/relay.rs
@@ -9,7 +9,7 @@
 use tokio::time::timeout;
 
 use crate::exchange::BodySender;
-use crate::upstream::progress::{wait_stalled, WireProgress};
+use crate::upstream::progress::{wait_silent, WireProgress};
 use crate::upstream::stream_tail::StreamTail;
 
 /// Maximum time that a client may leave data unread before the router cancels its stream.
@@ -17,7 +17,8 @@
 
 /// Relays a response body unchanged, chunk by chunk, to its end; `first_chunk` is what has been
 /// read from the body already. Returns the end of the stream for the attempt's report, or as an
-/// error the outcome of the attempt if the stream breaks, stalls or is cancelled.
+/// error the outcome of the attempt if the stream breaks, is cancelled, or if nothing arrives for
+/// `idle_timeout`. An endpoint that writes slowly is waited for, also within an event.
 pub(super) async fn relay(
     body: &mut Incoming,
     first_chunk: Bytes,
@@ -34,13 +35,13 @@
             send_to_client(&sender, chunk).await?;
         }
         tokio::select! {
-            frame = timeout(idle_timeout, body.frame()) => match frame {
-                Ok(Some(Ok(frame))) => chunk = frame.into_data().ok(),
-                Ok(None) => break,
-                Ok(Some(Err(_))) | Err(_) => return Err(BROKEN),
+            frame = body.frame() => match frame {
+                Some(Ok(frame)) => chunk = frame.into_data().ok(),
+                None => break,
+                Some(Err(_)) => return Err(BROKEN),
             },
             () = sender.closed() => return Err(Outcome::Cancelled),
-            () = wait_stalled(progress) => return Err(BROKEN),
+            () = wait_silent(progress, idle_timeout) => return Err(BROKEN),
         }
     }
     // The result is ignored: the client has been sent the whole response already.
--- a/crates/router/src/upstream/progress.rs
+++ b/crates/router/src/upstream/progress.rs
@@ -7,12 +7,12 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 use crate::framing::Framing;
 
-/// Maximum time that an endpoint may take to finish a head, or to continue a chunk, that it has
-/// begun.
+/// Maximum time until an endpoint continues a head, or a chunk, that it has begun before its response
+/// is passed on.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// The bytes that end a head: the end of its last line and a blank line.
 const HEAD_END: &[u8] = b"\r\n\r\n";
@@ -25,9 +25,8 @@
     request_completed: Notify,
     bytes: Cell<ByteCounts>,
     responses: RefCell<Framing>,
-    /// When the unfinished head began, or data of the unfinished chunk arrived last; `None` if
-    /// neither a head nor a chunk is unfinished.
-    partial_since: Cell<Option<Instant>>,
+    /// When data arrived last.
+    last_read_at: Cell<Option<Instant>>,
 }
 
 /// Numbers of bytes written and read since the current request began.
@@ -66,7 +65,7 @@
             request_completed: Notify::new(),
             bytes: Cell::default(),
             responses: RefCell::new(Framing::of_responses()),
-            partial_since: Cell::default(),
+            last_read_at: Cell::default(),
         }
     }
 }
@@ -112,35 +111,51 @@
         let mut responses = self.responses.borrow_mut();
         let is_unsolicited = responses.is_between_messages() && self.nothing_written();
         responses.push(bytes);
-        self.partial_since.set(match self.partial_since.get() {
-            since @ Some(_) if responses.is_in_head() => since,
-            _ if responses.is_in_head() || responses.is_in_chunk() => Some(Instant::now()),
-            _ => None,
-        });
+        self.last_read_at.set(Some(Instant::now()));
         if is_unsolicited || responses.is_invalid() {
             return Err(io::ErrorKind::InvalidData.into());
         }
         Ok(())
     }
 
-    /// Waits until a response that has begun stalls for [`STALL_TIMEOUT`]. The timeout starts at
-    /// `waiting_since` at the earliest: before that the router may not have read from the
-    /// connection, which is not a fault of the endpoint.
+    /// Waits until a head or a chunk that has begun is not continued for [`STALL_TIMEOUT`]. The
+    /// timeout starts at `waiting_since` at the earliest: before that the router may not have read
+    /// from the connection, which is not a fault of the endpoint.
     pub(crate) async fn wait_stalled(&self, waiting_since: Instant) {
         loop {
-            let now = Instant::now();
-            let stalled_at = self
-                .partial_since
-                .get()
-                .map(|since| since.max(waiting_since) + STALL_TIMEOUT);
-            match stalled_at {
-                Some(stalled_at) if now >= stalled_at => return,
-                Some(stalled_at) => sleep_until(stalled_at).await,
-                None => sleep_until(now + STALL_TIMEOUT).await,
+            let stalled_at = self.last_read_after(waiting_since) + STALL_TIMEOUT;
+            if Instant::now() < stalled_at {
+                sleep_until(stalled_at).await;
+            } else if self.has_partial_response() {
+                return;
+            } else {
+                sleep(STALL_TIMEOUT).await;
+            }
+        }
+    }
+
+    /// Waits until nothing arrives for `idle_timeout`, which starts at `waiting_since` at the
+    /// earliest.
+    pub(crate) async fn wait_silent(&self, waiting_since: Instant, idle_timeout: Duration) {
+        loop {
+            let silent_at = self.last_read_after(waiting_since) + idle_timeout;
+            if Instant::now() >= silent_at {
+                return;
             }
+            sleep_until(silent_at).await;
         }
     }
 
+    fn last_read_after(&self, earliest: Instant) -> Instant {
+        let last_read_at = self.last_read_at.get();
+        last_read_at.map_or(earliest, |at| at.max(earliest))
+    }
+
+    fn has_partial_response(&self) -> bool {
+        let responses = self.responses.borrow();
+        responses.is_in_head() || responses.is_in_chunk()
+    }
+
     /// Whether the bytes read so far end between two responses, not within one.
     pub(crate) fn is_between_responses(&self) -> bool {
         self.responses.borrow().is_between_messages()
@@ -229,5 +244,14 @@
     }
 }
 
+/// Waits until nothing arrives on a connection for `idle_timeout`, which starts now at the earliest.
+/// Waits for ever if there is no connection.
+pub(crate) async fn wait_silent(progress: Option<&WireProgress>, idle_timeout: Duration) {
+    match progress {
+        Some(progress) => progress.wait_silent(Instant::now(), idle_timeout).await,
+        None => pending().await,
+    }
+}
+
 #[cfg(test)]
 mod tests;
