Reset the connection of a request that is given up while its endpoint reads slowly

The system takes a whole request into its send buffer at once, however slowly the server reads.

PooledConnection::abandon waits 25 ms for the server to close its side, as before. If it does not, the connection is reset, and the system drops what it has not sent.

--- a/crates/router/src/socket.rs
+++ b/crates/router/src/socket.rs
@@ -33,6 +33,12 @@
             .peek(&mut byte)
             .is_ok_and(|length| length > 0)
     }
+
+    /// Makes the system reset the connection when it is closed, and drop what it has not sent yet.
+    pub(crate) fn reset_on_close(&self) {
+        // This fails only if the connection has ended already.
+        let _ = self.0.set_zero_linger();
+    }
 }
 
 impl AsFd for Socket {
--- a/crates/router/src/upstream/connection.rs
+++ b/crates/router/src/upstream/connection.rs
@@ -193,11 +193,16 @@
     /// Abandons the request in flight: closes this side, and waits up to [`CLOSE_TIMEOUT`] for the
     /// endpoint to close its side. The next attempt uses another connection and could overtake the
     /// close; the endpoint would then have two attempts of a request at once, or reject the new
-    /// one.
+    /// one. If the endpoint does not close its side, the connection is reset: what the system has
+    /// not sent yet of the request must not arrive after it has been given up.
     pub(crate) async fn abandon(mut self) {
         self.stop_driver().await;
-        if !self.progress.nothing_written() {
-            let _ = timeout(CLOSE_TIMEOUT, shut_down_and_discard(&self.stream)).await;
+        if self.progress.nothing_written() {
+            return;
+        }
+        let closing = shut_down_and_discard(&self.stream);
+        if timeout(CLOSE_TIMEOUT, closing).await.is_err() {
+            self.stream.borrow().reset_on_close();
         }
     }
 
