--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -6,17 +6,16 @@
 //! [`BodySender`], and the frontend reads it from a [`BodyStream`]. The frontends and the upstream
 //! do not depend on each other.
 
+mod body;
+
 use std::fmt;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderMap;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
-/// The maximum number of body chunks that are buffered for the frontend. The limit creates
-/// backpressure: an endpoint is slowed down by a client that reads slowly.
-const MAX_BUFFERED_CHUNKS: usize = 32;
+pub use body::{body_channel, BodySender, BodyStream, IncompleteBody};
 
 /// A request as it is forwarded to an endpoint.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -45,7 +44,8 @@
     Rejected(Duration),
     /// The request failed; it may have been executed.
     Failed,
-    /// The request is not accepted, as another request with the same id is open.
+    /// The request is not accepted, as another request with the same id is open, or may have been
+    /// executed and must not be executed again.
     DuplicateId,
 }
 
@@ -61,16 +61,6 @@
     }
 }
 
-/// The error for a response body that ended before it was complete.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("the response body is incomplete")]
-pub struct IncompleteBody;
-
-enum Chunk {
-    Data(Bytes),
-    End,
-}
-
 /// The frontend's half of an exchange. If it is dropped, the client has disconnected.
 pub struct ResponseHandle {
     response: oneshot::Receiver<FinalResponse>,
@@ -127,77 +117,5 @@
     }
 }
 
-/// The upstream's half of a response body.
-pub struct BodySender(mpsc::Sender<Chunk>);
-
-/// The frontend's half of a response body: its data in order.
-#[derive(Debug)]
-pub struct BodyStream {
-    chunks: mpsc::Receiver<Chunk>,
-    ended: bool,
-}
-
-impl fmt::Debug for Chunk {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Chunk::Data(data) => write!(f, "{} bytes", data.len()),
-            Chunk::End => f.write_str("end"),
-        }
-    }
-}
-
-/// Opens the channel for a response body.
-pub fn body_channel() -> (BodySender, BodyStream) {
-    let (sender, chunks) = mpsc::channel(MAX_BUFFERED_CHUNKS);
-    let stream = BodyStream {
-        chunks,
-        ended: false,
-    };
-    (BodySender(sender), stream)
-}
-
-impl BodySender {
-    /// Sends data to the frontend. An error means that the [`BodyStream`] has been dropped.
-    pub async fn send(&self, data: Bytes) -> Result<(), IncompleteBody> {
-        let chunk = Chunk::Data(data);
-        self.0.send(chunk).await.map_err(|_| IncompleteBody)
-    }
-
-    /// Marks the body as complete. If a sender is dropped without this call, its body is
-    /// incomplete.
-    pub async fn finish(self) -> Result<(), IncompleteBody> {
-        self.0.send(Chunk::End).await.map_err(|_| IncompleteBody)
-    }
-
-    /// Waits until the [`BodyStream`] has been dropped.
-    pub async fn closed(&self) {
-        self.0.closed().await;
-    }
-}
-
-impl BodyStream {
-    /// Polls for the next chunk: `None` at the end of a complete body, and an error once at the end
-    /// of an incomplete one.
-    pub fn poll_next(
-        &mut self,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, IncompleteBody>>> {
-        if self.ended {
-            return Poll::Ready(None);
-        }
-        self.chunks.poll_recv(cx).map(|chunk| match chunk {
-            Some(Chunk::Data(data)) => Some(Ok(data)),
-            Some(Chunk::End) => {
-                self.ended = true;
-                None
-            }
-            None => {
-                self.ended = true;
-                Some(Err(IncompleteBody))
-            }
-        })
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/router/src/frontend/body.rs
+++ b/crates/router/src/frontend/body.rs
@@ -94,8 +94,8 @@
     pub(super) has_ambiguous_length: bool,
     /// Whether the client waits for `100 Continue` before it sends the body.
     pub(super) expects_continue: bool,
-    /// Whether the request is rejected, as too many connections are in use.
-    pub(super) is_rejected: bool,
+    /// Why the request is rejected without its body being read, if it is.
+    pub(super) rejection: Option<BodyError>,
     /// The tracker of the connection's requests.
     pub(super) request_tracker: RequestTracker,
 }
@@ -130,10 +130,9 @@
         // A client that still waits for `100 Continue` sends no body. Reading the body makes hyper
         // send that response.
         let mut is_arriving = !self.expects_continue;
-        let checked = if self.is_rejected {
-            Err(BodyError::TooManyConnections)
-        } else {
-            check_headers_and_reserve(headers, declared_length, size_limit, budget)
+        let checked = match self.rejection {
+            Some(rejection) => Err(rejection),
+            None => check_headers_and_reserve(headers, declared_length, size_limit, budget),
         };
         let result = match checked {
             Ok((coding, reservation)) => {
@@ -262,9 +261,13 @@
         declared_length: usize,
     ) -> Result<(Bytes, ByteReservation), BodyError> {
         let mut plain = BytesMut::with_capacity(declared_length);
+        self.reserve(declared_length, plain.capacity())?;
         while let Some(data) = next_data(body).await? {
             let length = plain.len() + data.len();
-            self.reserve(length, length.max(plain.capacity()))?;
+            if length > plain.capacity() {
+                // The buffer may double its size as it grows.
+                self.reserve(length, length.max(2 * plain.capacity()))?;
+            }
             plain.extend_from_slice(&data);
         }
         self.reservation.shrink_to(plain.capacity());
--- a/crates/router/src/frontend/byte_budget.rs
+++ b/crates/router/src/frontend/byte_budget.rs
@@ -6,12 +6,17 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use crate::memory::{MemoryLedger, MemoryReservation, Purpose};
+
 struct Usage {
     capacity: usize,
     /// Number of bytes that request bodies may use.
     request_capacity: usize,
     reserved: Cell<usize>,
     peak: Cell<usize>,
+    /// The memory of the router, in which each reservation is made as well.
+    memory: MemoryLedger,
+    purpose: Purpose,
 }
 
 /// A limited number of bytes that can be reserved. Cheap to clone: clones share the same budget.
@@ -19,22 +24,27 @@
 pub struct ByteBudget(Rc<Usage>);
 
 impl ByteBudget {
-    /// Creates a budget of `capacity` bytes.
-    pub fn new(capacity: usize) -> ByteBudget {
-        ByteBudget::with_request_capacity(capacity, capacity - capacity / 4)
-    }
-
-    /// Creates a budget of `capacity` bytes, all of which request bodies may use.
-    pub fn for_requests_only(capacity: usize) -> ByteBudget {
-        ByteBudget::with_request_capacity(capacity, capacity)
+    /// Creates a budget of `capacity` bytes of `memory`.
+    pub fn new(capacity: usize, memory: &MemoryLedger) -> ByteBudget {
+        ByteBudget(Rc::new(Usage {
+            capacity,
+            request_capacity: capacity - capacity / 4,
+            reserved: Cell::default(),
+            peak: Cell::default(),
+            memory: memory.clone(),
+            purpose: Purpose::BulkData,
+        }))
     }
 
-    fn with_request_capacity(capacity: usize, request_capacity: usize) -> ByteBudget {
+    /// Creates a budget for request bodies only, which `memory` alone limits.
+    pub fn for_requests_only(memory: &MemoryLedger) -> ByteBudget {
         ByteBudget(Rc::new(Usage {
-            capacity,
-            request_capacity,
+            capacity: usize::MAX,
+            request_capacity: usize::MAX,
             reserved: Cell::default(),
             peak: Cell::default(),
+            memory: memory.clone(),
+            purpose: Purpose::ClientData,
         }))
     }
 
@@ -43,6 +53,7 @@
         let mut reservation = ByteReservation {
             budget: self.clone(),
             bytes: 0,
+            memory: self.0.memory.empty_reservation(self.0.purpose),
         };
         reservation.try_grow_to(bytes).then_some(reservation)
     }
@@ -82,6 +93,7 @@
 pub struct ByteReservation {
     budget: ByteBudget,
     bytes: usize,
+    memory: MemoryReservation,
 }
 
 impl ByteReservation {
@@ -100,7 +112,7 @@
     pub fn try_grow_to(&mut self, bytes: usize) -> bool {
         let usage = &self.budget.0;
         let additional = bytes.saturating_sub(self.bytes);
-        if additional > usage.capacity - usage.reserved.get() {
+        if additional > usage.capacity - usage.reserved.get() || !self.memory.try_grow_to(bytes) {
             return false;
         }
         self.bytes += additional;
@@ -118,6 +130,7 @@
     pub fn shrink_to(&mut self, bytes: usize) {
         let surplus = self.bytes.saturating_sub(bytes);
         self.bytes -= surplus;
+        self.memory.shrink_to(self.bytes);
         let usage = &self.budget.0;
         usage.reserved.set(usage.reserved.get() - surplus);
     }
--- a/crates/router/src/frontend/byte_budget/tests.rs
+++ b/crates/router/src/frontend/byte_budget/tests.rs
@@ -4,7 +4,7 @@
 
 #[test]
 fn request_bodies_leave_a_quarter_of_the_budget_free() {
-    let budget = ByteBudget::new(100);
+    let budget = ByteBudget::new(100, &MemoryLedger::unlimited());
     let body = budget.reserve_for_request(70).unwrap();
     assert!(budget.reserve_for_request(6).is_none());
     assert!(budget.reserve(30).is_some());
@@ -14,7 +14,7 @@
 
 #[test]
 fn reservations_never_exceed_the_budget_and_are_returned_when_dropped() {
-    let budget = ByteBudget::new(100);
+    let budget = ByteBudget::new(100, &MemoryLedger::unlimited());
     let mut first = budget.reserve(60).unwrap();
     assert!(budget.reserve(41).is_none());
     let second = budget.reserve(40).unwrap();
@@ -26,3 +26,17 @@
     drop(first);
     assert_eq!((budget.reserved(), budget.peak()), (0, 100));
 }
+
+/// Guards against parts that each keep within their own limit and together exceed the memory.
+#[test]
+fn a_budget_grants_no_more_than_the_memory_of_the_router_has() {
+    let memory = MemoryLedger::new(1_000);
+    let budget = ByteBudget::new(10_000, &memory);
+    let others = memory.reserve(Purpose::Fixed, 800).unwrap();
+    let mut reservation = budget.reserve(200).unwrap();
+    assert!(!reservation.try_grow_to(201));
+    drop(others);
+    assert!(reservation.try_grow_to(300));
+    reservation.shrink_to(10);
+    assert_eq!((budget.reserved(), memory.reserved()), (10, 10));
+}
--- a/crates/router/src/frontend/client_stream.rs
+++ b/crates/router/src/frontend/client_stream.rs
@@ -167,6 +167,9 @@
         self.state
             .blocked_since
             .set(written.is_pending().then_some(blocked_since));
+        if let Poll::Ready(Ok(length)) = &written {
+            self.state.write_window.on_written(*length);
+        }
         written
     }
 
--- a/crates/router/src/frontend/connection_server.rs
+++ b/crates/router/src/frontend/connection_server.rs
@@ -20,6 +20,7 @@
 use super::client_stream::{ReadAhead, TrackedStream};
 use super::connection_state::READ_BUFFER_LIMIT;
 use super::connections::{ClientConnection, RequestGuard, RequestTracker};
+use super::headers::head_bytes;
 use super::pipeline::Admission;
 use super::response_body::{GuardedBody, ResponseBody};
 use super::Frontend;
@@ -92,6 +93,8 @@
     // hyper's own timeout is disabled: the connection limiter enforces the timeouts of clients.
     let serving = http1::Builder::new()
         .header_read_timeout(None)
+        // Reading ahead detects a client's disconnect. The library would keep a buffer for that.
+        .half_close(true)
         .max_buf_size(READ_BUFFER_LIMIT)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(serving);
@@ -171,12 +174,23 @@
             waited: guard.waited(),
             has_ambiguous_length: self.request_tracker.has_ambiguous_length(),
             expects_continue,
-            is_rejected: self.is_rejecting,
+            rejection: self.rejection(guard),
             request_tracker: self.request_tracker.clone(),
         });
         self.frontend.clone().respond(request).await
     }
 
+    /// Returns why the request is rejected before its body is read, if it is.
+    fn rejection(&self, guard: &RequestGuard) -> Option<BodyError> {
+        if self.is_rejecting {
+            Some(BodyError::TooManyConnections)
+        } else if !guard.has_memory() {
+            Some(BodyError::BudgetExhausted)
+        } else {
+            None
+        }
+    }
+
     /// Sets `Connection: close` if the response is the last one on the connection. It makes the
     /// client send its next request on another connection, and this one need not be closed later.
     /// No response says so whose client is owed further responses.
@@ -201,7 +215,7 @@
     fn call(&self, request: Request<Incoming>) -> Self::Future {
         // The request begins here and not when the response is first polled: the HTTP library may
         // read on before that.
-        let guard = self.request_tracker.begin();
+        let guard = self.request_tracker.begin(head_bytes(request.headers()));
         let response = self.clone().respond(request, guard);
         Box::pin(async move { Ok(response.await) })
     }
--- a/crates/router/src/frontend/connection_state.rs
+++ b/crates/router/src/frontend/connection_state.rs
@@ -2,7 +2,6 @@
 //! it must be closed. The connection's stream, its requests and the connection limiter share it.
 
 use std::cell::{Cell, Ref, RefCell};
-use std::rc::Rc;
 use std::task::{Context, Waker};
 use std::time::Duration;
 
@@ -11,6 +10,8 @@
 use tokio::time::Instant;
 
 use super::pipeline::{Delivery, Pipeline, Progress};
+use crate::memory::{MemoryLedger, MemoryReservation, Purpose};
+use crate::write_window::WriteWindow;
 
 /// Maximum time until the head of a request has arrived, from the start of the connection for its
 /// first request and from the request's first byte for later ones.
@@ -27,8 +28,6 @@
 /// buffer of an idle connection keeps the size that its last request body required: with a larger
 /// limit, memory would grow with the number of clients that send one request and stay connected.
 pub(super) const READ_BUFFER_LIMIT: usize = 16 * 1024;
-/// Maximum number of bytes that all connections of a frontend together buffer by reading ahead.
-const READ_AHEAD_TOTAL_LIMIT: usize = 8 * 1024 * 1024;
 /// Minimum idle time before a connection may be evicted, because its request may be in transit.
 const EVICTION_GRACE: Duration = Duration::from_millis(50);
 /// Time that is added to the idle time of a connection without a complete request, so that it is
@@ -73,8 +72,8 @@
 /// The state of a client connection.
 pub(super) struct ConnectionState {
     limits: ClientLimits,
-    /// Number of bytes that all connections of the frontend have buffered by reading ahead.
-    read_ahead_total: Rc<Cell<usize>>,
+    /// The memory of the bytes that were read ahead.
+    read_ahead_memory: RefCell<MemoryReservation>,
     /// The current activity of the connection.
     pub(super) activity: Cell<Activity>,
     /// When writing to the client last became blocked; `None` if it is not blocked.
@@ -83,19 +82,22 @@
     /// The waker of the connection's task, if the HTTP library waits for the end of a response
     /// before it reads on.
     read_waker: Cell<Option<Waker>>,
+    /// The response data that the HTTP library holds.
+    pub(super) write_window: WriteWindow,
     close: Notify,
 }
 
 impl ConnectionState {
     /// Creates the state of a connection that has just been accepted.
-    pub(super) fn new(limits: ClientLimits, read_ahead_total: Rc<Cell<usize>>) -> ConnectionState {
+    pub(super) fn new(limits: ClientLimits, memory: &MemoryLedger) -> ConnectionState {
         ConnectionState {
             limits,
-            read_ahead_total,
+            read_ahead_memory: RefCell::new(memory.empty_reservation(Purpose::Backlog)),
             activity: Cell::new(Activity::Receiving(Instant::now())),
             blocked_since: Cell::default(),
             pipeline: RefCell::default(),
             read_waker: Cell::default(),
+            write_window: WriteWindow::default(),
             close: Notify::new(),
         }
     }
@@ -122,14 +124,13 @@
         self.pipeline.borrow()
     }
 
-    /// Changes the pipeline, and keeps the number of bytes up to date that all connections buffer.
+    /// Changes the pipeline, and keeps the memory up to date that is reserved for what it buffers.
     pub(super) fn update_pipeline<T>(&self, update: impl FnOnce(&mut Pipeline) -> T) -> T {
         let mut pipeline = self.pipeline.borrow_mut();
-        let before = pipeline.buffered_bytes();
         let result = update(&mut pipeline);
-        let others = self.read_ahead_total.get() - before;
-        self.read_ahead_total
-            .set(others + pipeline.buffered_bytes());
+        let mut memory = self.read_ahead_memory.borrow_mut();
+        memory.grow_to(pipeline.buffered_bytes());
+        memory.shrink_to(pipeline.buffered_bytes());
         result
     }
 
@@ -151,9 +152,9 @@
     fn fits_read_ahead(&self, length: usize) -> bool {
         let connection_limit = self.limits.max_body_bytes + 2 * READ_BUFFER_LIMIT;
         let connection_bytes = self.pipeline().buffered_bytes() + length;
-        let total_bytes = self.read_ahead_total.get() + length;
+        let mut memory = self.read_ahead_memory.borrow_mut();
         connection_bytes <= READ_BUFFER_LIMIT
-            || (connection_bytes <= connection_limit && total_bytes <= READ_AHEAD_TOTAL_LIMIT)
+            || (connection_bytes <= connection_limit && memory.try_grow_to(connection_bytes))
     }
 
     /// Delivers the next bytes to the HTTP library. If it has to wait for the end of the current
@@ -210,9 +211,3 @@
         self.close.notified().await;
     }
 }
-
-impl Drop for ConnectionState {
-    fn drop(&mut self) {
-        self.update_pipeline(|pipeline| *pipeline = Pipeline::default());
-    }
-}
--- a/crates/router/src/frontend/connections.rs
+++ b/crates/router/src/frontend/connections.rs
@@ -19,7 +19,9 @@
 use super::connection_state::{Activity, ClientLimits, ConnectionState};
 use super::pipeline::{Admission, Pipeline};
 use crate::closing::{discard_received, shut_down_and_discard};
+use crate::memory::{MemoryLedger, MemoryReservation, Purpose, Reclaim};
 use crate::socket::Socket;
+use crate::write_window::WriteWindow;
 
 /// Interval between two evictions while a new connection waits for a permit.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(20);
@@ -34,28 +36,43 @@
 /// use file descriptors that are reserved for other purposes.
 const MAX_REJECTING_CONNECTIONS: usize = 8;
 
+/// Memory of a client connection, in bytes: the buffers of the HTTP library, and the connection's
+/// task.
+const CONNECTION_BYTES: usize = 18 * 1024;
+/// Memory of a request beside its head and body, in bytes: its tasks, and its records in the core and
+/// the policy.
+const REQUEST_BYTES: usize = 4 * 1024;
+
 /// The registry of the client connections of all frontends, which limits their number.
 pub struct ConnectionLimiter {
     permits: Arc<Semaphore>,
     rejecting_permits: Arc<Semaphore>,
     /// Since when new connections have waited for a permit in vain.
     exhausted_since: Cell<Option<Instant>>,
-    read_ahead_total: Rc<Cell<usize>>,
+    memory: MemoryLedger,
     connections: RefCell<BTreeMap<u64, Rc<ConnectionState>>>,
     next_connection_id: Cell<u64>,
 }
 
 impl ConnectionLimiter {
-    /// Creates a limiter that permits at most `connection_limit` connections.
-    pub fn new(connection_limit: usize) -> Rc<ConnectionLimiter> {
-        Rc::new(ConnectionLimiter {
+    /// Memory of a connection with a request whose head and body are small, in bytes.
+    #[cfg(test)]
+    pub(crate) const BYTES_PER_REQUEST: usize = CONNECTION_BYTES + REQUEST_BYTES;
+
+    /// Creates a limiter that permits at most `connection_limit` connections, whose memory is
+    /// reserved in `memory`.
+    pub fn new(connection_limit: usize, memory: MemoryLedger) -> Rc<ConnectionLimiter> {
+        let limiter = Rc::new(ConnectionLimiter {
             permits: Arc::new(Semaphore::new(connection_limit)),
             rejecting_permits: Arc::new(Semaphore::new(MAX_REJECTING_CONNECTIONS)),
             exhausted_since: Cell::default(),
-            read_ahead_total: Rc::default(),
+            memory,
             connections: RefCell::default(),
             next_connection_id: Cell::default(),
-        })
+        });
+        let reclaimer = Rc::downgrade(&(limiter.clone() as Rc<dyn Reclaim>));
+        limiter.memory.add_reclaimer(reclaimer);
+        limiter
     }
 
     /// Waits for a permit for a new connection. If none has become available for
@@ -109,7 +126,12 @@
         let connection_id = self
             .next_connection_id
             .replace(self.next_connection_id.get() + 1);
-        let state = ConnectionState::new(limits, self.read_ahead_total.clone());
+        let mut memory = self.memory.empty_reservation(Purpose::Fixed);
+        let has_memory = memory.try_grow_to(CONNECTION_BYTES);
+        // The connection has been accepted already, so it counts even if there is no room for it.
+        memory.grow_to(CONNECTION_BYTES);
+        let is_rejecting = !has_memory || permit.as_ref().is_some_and(|permit| permit.is_rejecting);
+        let state = ConnectionState::new(limits, &self.memory);
         let state = Rc::new(state);
         self.connections
             .borrow_mut()
@@ -118,7 +140,9 @@
             limiter: self.clone(),
             connection_id,
             state,
-            permit,
+            is_rejecting,
+            _permit: permit,
+            _memory: memory,
         }
     }
 
@@ -144,6 +168,12 @@
     }
 }
 
+impl Reclaim for ConnectionLimiter {
+    fn reclaim(&self) {
+        self.evict_longest_idle();
+    }
+}
+
 /// The permit of a client connection, which is returned when this is dropped.
 pub(crate) struct ConnectionPermit {
     _permit: OwnedSemaphorePermit,
@@ -151,12 +181,15 @@
     pub(crate) is_rejecting: bool,
 }
 
-/// The permit and the state of a client connection. Dropping it releases both.
+/// The permit, the memory and the state of a client connection. Dropping it releases them.
 pub(crate) struct ClientConnection {
     limiter: Rc<ConnectionLimiter>,
     connection_id: u64,
     state: Rc<ConnectionState>,
-    permit: Option<ConnectionPermit>,
+    /// Whether the connection's requests are rejected, as too many connections are in use.
+    is_rejecting: bool,
+    _permit: Option<ConnectionPermit>,
+    _memory: MemoryReservation,
 }
 
 impl Drop for ClientConnection {
@@ -215,14 +248,15 @@
     /// Returns whether the requests on this connection are rejected, as too many connections are in
     /// use.
     pub(crate) fn is_rejecting(&self) -> bool {
-        self.permit
-            .as_ref()
-            .is_some_and(|permit| permit.is_rejecting)
+        self.is_rejecting
     }
 
     /// Returns the tracker of the requests on this connection.
     pub(crate) fn request_tracker(&self) -> RequestTracker {
-        RequestTracker(self.state.clone())
+        RequestTracker {
+            state: self.state.clone(),
+            memory: self.limiter.memory.clone(),
+        }
     }
 
     /// Waits until closing the connection has been requested.
@@ -233,47 +267,52 @@
 
 /// A handle that records when requests on a connection begin and end.
 #[derive(Clone)]
-pub(crate) struct RequestTracker(Rc<ConnectionState>);
+pub(crate) struct RequestTracker {
+    state: Rc<ConnectionState>,
+    memory: MemoryLedger,
+}
 
 impl RequestTracker {
-    /// Records that the head of a request has arrived. The request counts as being answered until
-    /// the guard is dropped.
-    pub(crate) fn begin(&self) -> RequestGuard {
-        let since = match self.0.activity.replace(Activity::ReceivingBody) {
+    /// Records that the head of a request has arrived, of `head_bytes`. The request counts as being
+    /// answered until the guard is dropped.
+    pub(crate) fn begin(&self, head_bytes: usize) -> RequestGuard {
+        let since = match self.state.activity.replace(Activity::ReceivingBody) {
             Activity::Receiving(since) => since,
             Activity::ReceivingBody | Activity::Answering | Activity::Idle(_) => Instant::now(),
         };
-        let admission = self.0.update_pipeline(Pipeline::begin_request);
-        let waited = self.0.pipeline().completed_at().map(|at| at.elapsed());
+        let admission = self.state.update_pipeline(Pipeline::begin_request);
+        let waited = self.state.pipeline().completed_at().map(|at| at.elapsed());
+        let request_bytes = REQUEST_BYTES + head_bytes;
         RequestGuard {
+            memory: self.memory.reserve(Purpose::Fixed, request_bytes),
             admission,
             waited: waited.unwrap_or_default(),
-            state: self.0.clone(),
-            body_deadline: since + self.0.limits().request_timeout,
+            state: self.state.clone(),
+            body_deadline: since + self.state.limits().request_timeout,
         }
     }
 
     /// Records that the HTTP library has read the whole body of the current request. Returns
     /// whether the body is as the client sent it: a part of it may have been discarded.
     pub(crate) fn finish_body(&self) -> bool {
-        self.0.activity.set(Activity::Answering);
-        !self.0.pipeline().is_body_incomplete()
+        self.state.activity.set(Activity::Answering);
+        !self.state.pipeline().is_body_incomplete()
     }
 
     /// Returns whether the connection has received a request with an ambiguous end, with both
     /// `Content-Length` and `Transfer-Encoding`.
     pub(crate) fn has_ambiguous_length(&self) -> bool {
-        self.0.pipeline().has_ambiguous_length()
+        self.state.pipeline().has_ambiguous_length()
     }
 
     /// Returns whether requests have been read behind the current one.
     pub(crate) fn owes_responses(&self) -> bool {
-        self.0.pipeline().owes_responses()
+        self.state.pipeline().owes_responses()
     }
 
     /// Returns whether the connection must be closed after the current request.
     pub(crate) fn is_last_request(&self) -> bool {
-        self.0.pipeline().is_last_request()
+        self.state.pipeline().is_last_request()
     }
 }
 
@@ -283,9 +322,21 @@
     admission: Admission,
     waited: Duration,
     body_deadline: Instant,
+    /// The memory of the request beside its body; `None` if there was no room for it.
+    memory: Option<MemoryReservation>,
 }
 
 impl RequestGuard {
+    /// Returns the window of the response data that the HTTP library holds.
+    pub(crate) fn write_window(&self) -> &WriteWindow {
+        &self.state.write_window
+    }
+
+    /// Returns whether there is memory for the request.
+    pub(crate) fn has_memory(&self) -> bool {
+        self.memory.is_some()
+    }
+
     /// Returns how the request is answered.
     pub(crate) fn admission(&self) -> Admission {
         self.admission
--- a/crates/router/src/frontend/headers.rs
+++ b/crates/router/src/frontend/headers.rs
@@ -4,7 +4,7 @@
     HeaderName, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, EXPECT, HOST, PROXY_AUTHENTICATE,
     PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
-use http::HeaderMap;
+use http::{HeaderMap, HeaderValue};
 
 /// Headers that apply to a single connection (RFC 9110, 7.6.1), and those that frame the body,
 /// which each attempt writes itself.
@@ -25,6 +25,17 @@
 /// Headers that each attempt sets itself.
 const SET_BY_ATTEMPT: [&str; 2] = ["x-request-id", "x-deadline-ms"];
 
+/// Memory that a header field takes beside its text, in bytes: an entry in the header map of the
+/// client's request, and one in that of the forwarded request.
+const FIELD_BYTES: usize = 224;
+
+/// Returns the memory that the headers of a request take while the request is served, in bytes.
+pub(crate) fn head_bytes(headers: &HeaderMap) -> usize {
+    let text_bytes = |(name, value): (&HeaderName, &HeaderValue)| name.as_str().len() + value.len();
+    let texts: usize = headers.iter().map(text_bytes).sum();
+    texts + headers.len() * FIELD_BYTES
+}
+
 /// Returns the headers that are forwarded unchanged: all except the hop-by-hop headers and those
 /// that an attempt sets itself. Endpoints may use them: an idempotency key, for example, lets an
 /// endpoint discard repeated requests.
--- a/crates/router/src/frontend/inference/service.rs
+++ b/crates/router/src/frontend/inference/service.rs
@@ -26,7 +26,9 @@
 use crate::core::Handle;
 use crate::frontend::byte_budget::ByteBudget;
 use crate::frontend::response::set_retry_after;
-use crate::frontend::{BodyError, ClientLimits, Frontend, RequestBody, ResponseBody};
+use crate::frontend::{
+    BodyError, ClientLimits, Frontend, FrontendContext, RequestBody, ResponseBody,
+};
 use crate::shutdown::Phase;
 use crate::tenants::{KeyOwner, Tenants};
 
@@ -93,17 +95,16 @@
 }
 
 impl Inference {
-    /// Creates a frontend that submits its requests to `handle`. `seed` distinguishes the request
-    /// ids that it generates from those of other routers. `setup` must have passed
+    /// Creates a frontend that submits its requests to the context's core. `seed` distinguishes the
+    /// request ids that it generates from those of other routers. `setup` must have passed
     /// [`Setup::check`]. Must be called within a `LocalSet`.
     pub fn new(
-        handle: Handle,
+        context: FrontendContext,
         setup: Setup,
         site: &SiteSettings,
         settings: &Settings,
         tenants: Option<Tenants>,
         seed: u64,
-        phase: watch::Receiver<Phase>,
     ) -> Inference {
         let class = |endpoint: &ApiEndpointSetup| {
             let index = site.classes.iter().position(|c| c.name == endpoint.class);
@@ -111,7 +112,7 @@
         };
         let max_retry_after = max_retry_after(settings).unwrap_or(DEFAULT_MAX_RETRY_AFTER);
         Inference(Rc::new(Service {
-            handle,
+            handle: context.handle,
             default_classes: PerApiEndpoint {
                 chat: class(&setup.chat),
                 embeddings: class(&setup.embeddings),
@@ -120,11 +121,11 @@
             catalog: setup.catalog(site).unwrap_or_default(),
             settings: settings.clone(),
             tenants,
-            budget: ByteBudget::new(setup.limits.byte_budget),
+            budget: ByteBudget::new(setup.limits.byte_budget, &context.memory),
             decoder: BodyDecoder::new(setup.limits.body_limits()),
             queue: BatchQueue::new(setup.batches.scheduler_config(max_retry_after)),
             setup,
-            phase,
+            phase: context.phase,
             open_ids: OpenRequestIds::default(),
             id_generator: RequestIdGenerator::new(seed),
         }))
@@ -189,6 +190,8 @@
             )
             .await
             .map_err(RequestError::Body)?;
+        // What is needed of the head has been copied.
+        drop(head);
         match route {
             Route::Chat => self.serve_chat(context, body, reservation).await,
             Route::Batch(_, form) => {
--- a/crates/router/src/frontend/mod.rs
+++ b/crates/router/src/frontend/mod.rs
@@ -19,11 +19,17 @@
 mod request_id;
 mod response;
 mod response_body;
+mod segments;
 mod server;
 
 use std::future::Future;
 
 use http::{Request, Response};
+use tokio::sync::watch;
+
+use crate::core::Handle;
+use crate::memory::MemoryLedger;
+use crate::shutdown::Phase;
 
 pub use body::{BodyError, RequestBody};
 pub use connection_state::ClientLimits;
@@ -32,6 +38,17 @@
 pub use response_body::{ResponseBody, StreamBody};
 pub use server::serve;
 
+/// What the frontends of a router share.
+#[derive(Clone)]
+pub struct FrontendContext {
+    /// Submits requests to the core.
+    pub handle: Handle,
+    /// The memory of the router.
+    pub memory: MemoryLedger,
+    /// The phase of the router's shutdown.
+    pub phase: watch::Receiver<Phase>,
+}
+
 /// An API that the router serves.
 pub trait Frontend: Clone + 'static {
     /// Returns the limits for clients of this API.
--- a/crates/router/src/frontend/pipeline.rs
+++ b/crates/router/src/frontend/pipeline.rs
@@ -10,10 +10,10 @@
 
 use std::collections::VecDeque;
 
-use bytes::{Buf, BytesMut};
 use tokio::io::ReadBuf;
 use tokio::time::Instant;
 
+use super::segments::Segments;
 use crate::framing::Framing;
 
 /// The request that the HTTP library reads in place of a discarded one.
@@ -73,7 +73,7 @@
     received: Framing,
     /// The tracker of the bytes that the HTTP library has read.
     delivered: Framing,
-    buffer: BytesMut,
+    buffer: Segments,
     /// When the requests that have not begun were complete, in order.
     arrivals: VecDeque<Arrival>,
     /// Number of requests that the HTTP library has begun.
@@ -89,7 +89,7 @@
         Pipeline {
             received: Framing::of_requests(),
             delivered: Framing::of_requests(),
-            buffer: BytesMut::new(),
+            buffer: Segments::default(),
             arrivals: VecDeque::new(),
             begun: 0,
             served_until: None,
@@ -108,7 +108,7 @@
     /// Buffers bytes that were read ahead.
     pub(super) fn buffer(&mut self, bytes: &[u8], now: Instant) {
         self.receive(bytes, now);
-        self.buffer.extend_from_slice(bytes);
+        self.buffer.push(bytes);
     }
 
     /// Tracks bytes that were read from the socket and are not discarded.
@@ -175,7 +175,7 @@
         }
         let is_between_requests = self.delivered.is_between_messages();
         if is_between_requests && self.received.heads() > self.delivered.heads() {
-            self.buffer.extend_from_slice(PLACEHOLDER);
+            self.buffer.push(PLACEHOLDER);
             self.deliver_buffered(buf);
             return Delivery::Copied;
         }
@@ -196,14 +196,8 @@
     }
 
     fn deliver_buffered(&mut self, buf: &mut ReadBuf<'_>) {
-        let length = self.buffer.len().min(buf.remaining());
-        buf.put_slice(&self.buffer[..length]);
-        self.delivered.push(&self.buffer[..length]);
-        self.buffer.advance(length);
-        if self.buffer.is_empty() {
-            // Frees the buffer, so that an idle connection holds none.
-            self.buffer = BytesMut::new();
-        }
+        let delivered = self.buffer.move_into(buf);
+        self.delivered.push(delivered);
     }
 
     /// Delivers zeros in place of the rest of a body that was discarded, so that the HTTP library
--- a/crates/router/src/frontend/platform.rs
+++ b/crates/router/src/frontend/platform.rs
@@ -17,7 +17,7 @@
 use super::headers::end_to_end_headers;
 use super::request_id::is_valid_request_id;
 use super::response::{set_retry_after, streaming_response};
-use super::{BodyError, Frontend, Readiness, RequestBody, ResponseBody};
+use super::{BodyError, Frontend, FrontendContext, Readiness, RequestBody, ResponseBody};
 use crate::core::{Handle, IncomingRequest};
 use crate::exchange::{FinalResponse, ForwardedRequest};
 
@@ -45,20 +45,15 @@
 }
 
 impl Platform {
-    /// Creates a frontend that submits its requests to the core through `handle`, and holds at most
-    /// `body_bytes` of request bodies.
-    pub fn new(
-        handle: Handle,
-        site: &SiteSettings,
-        readiness: Readiness,
-        body_bytes: usize,
-    ) -> Platform {
+    /// Creates a frontend that submits its requests to the context's core, and holds their bodies
+    /// within its memory.
+    pub fn new(context: FrontendContext, site: &SiteSettings, readiness: Readiness) -> Platform {
         let class_names = site.classes.iter().map(|c| c.name.clone()).collect();
         Platform {
-            handle,
+            handle: context.handle,
             class_names: Rc::new(class_names),
             readiness,
-            budget: ByteBudget::for_requests_only(body_bytes),
+            budget: ByteBudget::for_requests_only(&context.memory),
         }
     }
 
@@ -76,15 +71,19 @@
     ) -> Result<Response<ResponseBody>, RequestError> {
         let (head, body) = request.into_parts();
         let waited = body.waited();
-        let (body, _reservation) = body
+        let (body, reservation) = body
             .read_to_end(None, REQUEST_BODY_LIMIT, &self.budget)
             .await?;
         let mut incoming = decode(&head, body, &self.class_names)?;
+        // What is forwarded has been copied out of the head.
+        drop(head);
         if !waited.is_zero() && waited >= incoming.time_to_first_byte {
             return Err(RequestError::DeadlinePassed);
         }
         incoming.time_to_first_byte -= waited;
         let (response, disconnect_guard) = self.handle.submit(incoming).response().await;
+        // The request is not sent again, so its body is no longer held.
+        drop(reservation);
         Ok(match response {
             FinalResponse::Streaming { media_type, body } => {
                 streaming_response(&media_type, body, disconnect_guard)
--- a/crates/router/src/frontend/response_body.rs
+++ b/crates/router/src/frontend/response_body.rs
@@ -1,7 +1,7 @@
 //! The bodies of responses to clients.
 
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
@@ -9,6 +9,7 @@
 
 use super::connections::RequestGuard;
 use crate::exchange::{BodyStream, DisconnectGuard, IncompleteBody};
+use crate::write_window::MAX_PART_BYTES;
 
 /// The body of a response to a client.
 pub enum ResponseBody {
@@ -103,10 +104,13 @@
     }
 }
 
-/// A response body whose request counts as being answered until the body is dropped.
+/// A response body whose request counts as being answered until the body is dropped. It is passed to
+/// the HTTP library as its client reads it.
 pub(crate) struct GuardedBody {
     body: ResponseBody,
-    _guard: RequestGuard,
+    /// The rest of the data that the body has returned last.
+    rest: Bytes,
+    guard: RequestGuard,
 }
 
 impl GuardedBody {
@@ -114,7 +118,8 @@
     pub(crate) fn new(body: ResponseBody, guard: RequestGuard) -> GuardedBody {
         GuardedBody {
             body,
-            _guard: guard,
+            rest: Bytes::new(),
+            guard,
         }
     }
 }
@@ -127,14 +132,34 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, IncompleteBody>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        ready!(self.guard.write_window().poll_room(cx));
+        if self.rest.is_empty() {
+            match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => self.rest = data,
+                    Err(frame) => return Poll::Ready(Some(Ok(frame))),
+                },
+                end => return Poll::Ready(end),
+            }
+        }
+        let length = MAX_PART_BYTES.min(self.rest.len());
+        let part = self.rest.split_to(length);
+        self.guard.write_window().add(length);
+        Poll::Ready(Some(Ok(Frame::data(part))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.rest.is_empty() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        let rest = self.rest.len() as u64;
+        let hint = self.body.size_hint();
+        let mut total = SizeHint::new();
+        total.set_lower(hint.lower() + rest);
+        if let Some(upper) = hint.upper() {
+            total.set_upper(upper + rest);
+        }
+        total
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,6 +18,7 @@
 mod framing;
 pub mod frontend;
 pub mod gossip;
+pub mod memory;
 mod router;
 pub mod shutdown;
 pub mod signals;
@@ -25,6 +26,7 @@
 pub mod tasks;
 pub mod tenants;
 pub mod upstream;
+mod write_window;
 
 use std::future::Future;
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -103,17 +103,16 @@
             discovery_address,
             gossip,
         } = self;
-        let capacity = Capacity::new(&config.limits, inference.is_some());
+        let capacity = Capacity::new(&config.limits);
         let (parts, events) = Parts::new(config, capacity, gossip.as_ref(), signal);
         let mut releases_in_progress = parts.start_core(events, gossip);
         let discovery_done = parts.start_discovery(discovery_address);
         parts.start_shutdown_notification();
         let readiness = Readiness::new(discovery_done, parts.phase.clone());
         let site = &parts.config.site;
-        let body_bytes = capacity.platform_body_bytes;
-        let service = Platform::new(parts.handle.clone(), site, readiness, body_bytes);
+        let service = Platform::new(parts.frontend_context(), site, readiness);
         tracing::info!(name = parts.config.name, listen = %parts.config.listen, "serving");
-        let limiter = ConnectionLimiter::new(capacity.client_connections);
+        let limiter = ConnectionLimiter::new(capacity.client_connections, parts.memory.clone());
         let control_tasks = control.map(|(listener, setup)| parts.start_control(listener, setup));
         tokio::join!(
             frontend::serve(platform, service, &limiter, parts.phase.clone()),
@@ -144,13 +143,12 @@
     };
     tracing::info!(listen = %setup.listen, "serving the inference API");
     let service = Inference::new(
-        parts.handle.clone(),
+        parts.frontend_context(),
         setup.within_memory(parts.capacity.inference_body_bytes),
         &parts.config.site,
         &parts.config.settings,
         tenants,
         parts.config.seed,
-        parts.phase.clone(),
     );
     frontend::serve(listener, service, limiter, parts.phase.clone()).await;
 }
--- a/crates/router/src/router/parts.rs
+++ b/crates/router/src/router/parts.rs
@@ -14,7 +14,9 @@
 use crate::control;
 use crate::core::{Clock, Core, CoreEvent, EndpointListUpdate, Handle};
 use crate::discovery::{self, ListWatch, PollSchedule};
+use crate::frontend::FrontendContext;
 use crate::gossip::GossipSocket;
+use crate::memory::MemoryLedger;
 use crate::shutdown::{self, Phase, ShutdownSchedule};
 use crate::tasks::TaskGroup;
 use crate::upstream::{self, Upstream};
@@ -41,6 +43,7 @@
     pub(super) handle: Handle,
     pub(super) phase: watch::Receiver<Phase>,
     pub(super) capacity: Capacity,
+    pub(super) memory: MemoryLedger,
     tasks: TaskGroup,
 }
 
@@ -67,11 +70,21 @@
             handle,
             phase,
             capacity,
+            memory: MemoryLedger::new(capacity.ledger_bytes),
             tasks,
         };
         (parts, events)
     }
 
+    /// Returns what the frontends share.
+    pub(super) fn frontend_context(&self) -> FrontendContext {
+        FrontendContext {
+            handle: self.handle.clone(),
+            memory: self.memory.clone(),
+            phase: self.phase.clone(),
+        }
+    }
+
     /// Starts the core and the upstream, with the endpoint list that this router last had, if any.
     /// Returns a receiver of the number of releases of KV state in progress.
     pub(super) fn start_core(
@@ -107,6 +120,7 @@
             stream_idle_timeout: STREAM_IDLE_TIMEOUT,
             resumable_stream_idle_timeout: RESUMABLE_STREAM_IDLE_TIMEOUT,
             load_report_columns: self.config.site.report.clone(),
+            memory: self.memory.clone(),
         }
     }
 
--- a/crates/router/src/upstream/attempt.rs
+++ b/crates/router/src/upstream/attempt.rs
@@ -102,7 +102,7 @@
             first_chunk,
             media_type,
         } = stream;
-        let (sender, receiver) = exchange::body_channel();
+        let (sender, receiver) = exchange::body_channel(&self.shared.options.memory);
         self.shared.handle.send(CoreEvent::StreamStarted {
             attempt: self.spec.attempt,
             media_type,
--- a/crates/router/src/upstream/attempt/relay.rs
+++ b/crates/router/src/upstream/attempt/relay.rs
@@ -44,8 +44,7 @@
             () = wait_silent(progress, idle_timeout) => return Err(BROKEN),
         }
     }
-    // The result is ignored: the client has been sent the whole response already.
-    let _ = timeout(CLIENT_READ_TIMEOUT, sender.finish()).await;
+    sender.finish();
     Ok(tail)
 }
 
--- a/crates/router/src/upstream/calls/tests.rs
+++ b/crates/router/src/upstream/calls/tests.rs
@@ -7,6 +7,7 @@
 
 use super::*;
 use crate::core::Handle;
+use crate::memory::MemoryLedger;
 use crate::upstream::{ConnectionPool, Options};
 
 const MS: Duration = Duration::from_millis(1);
@@ -19,11 +20,13 @@
         stream_idle_timeout: 4_000 * MS,
         resumable_stream_idle_timeout: 4_000 * MS,
         load_report_columns: LoadReportSettings::default(),
+        memory: MemoryLedger::unlimited(),
     };
     let pool = ConnectionPool::new(
         options.connection_limit,
         options.connect_timeout,
         options.endpoint_idle_timeout,
+        options.memory.clone(),
     );
     Rc::new(Shared {
         handle: Handle::new().0,
--- a/crates/router/src/upstream/connection.rs
+++ b/crates/router/src/upstream/connection.rs
@@ -11,7 +11,6 @@
 use bytes::Bytes;
 use cranetack_routing_policy::EndpointId;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -23,12 +22,15 @@
 
 use super::observed_stream::ObservedStream;
 use super::progress::WireProgress;
+use super::request_body::RequestBody;
 use crate::closing::shut_down_and_discard;
 use crate::core::{EndReason, Endpoint, UsedConnection, WireTrace, Written};
+use crate::memory::MemoryReservation;
 use crate::socket::Socket;
+use crate::write_window::WriteWindow;
 
 /// Maximum size of a connection's read buffer, which also limits the head of a response.
-const READ_BUFFER_BYTES: usize = 16 * 1024;
+const READ_BUFFER_BYTES: usize = 8 * 1024;
 /// Maximum time to wait for an endpoint to close its side after an attempt has been abandoned. It
 /// covers a round trip; waiting longer for an endpoint that cannot be reached is of no use.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(25);
@@ -42,12 +44,33 @@
     endpoint: EndpointId,
     address: SocketAddr,
     stream: Rc<RefCell<Socket>>,
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<RequestBody>,
     progress: Rc<WireProgress>,
+    window: Rc<WriteWindow>,
     driver: JoinHandle<()>,
     /// How long the connection was idle before it was acquired; `None` if it is new.
     idle_for: Option<Duration>,
+    _resources: ConnectionResources,
+}
+
+/// What a connection holds until it is closed: a permit that counts towards the connection limit,
+/// and the memory of its buffers and tasks.
+pub(super) struct ConnectionResources {
     _permit: OwnedSemaphorePermit,
+    _memory: MemoryReservation,
+}
+
+impl ConnectionResources {
+    /// Combines what a connection needs.
+    pub(super) fn new(
+        permit: OwnedSemaphorePermit,
+        memory: MemoryReservation,
+    ) -> ConnectionResources {
+        ConnectionResources {
+            _permit: permit,
+            _memory: memory,
+        }
+    }
 }
 
 impl Drop for PooledConnection {
@@ -64,11 +87,13 @@
         endpoint: &Endpoint,
         address: SocketAddr,
         stream: TcpStream,
-        permit: OwnedSemaphorePermit,
+        resources: ConnectionResources,
     ) -> hyper::Result<PooledConnection> {
         let stream = Rc::new(RefCell::new(Socket::from(stream)));
         let progress = Rc::new(WireProgress::default());
-        let io = TokioIo::new(ObservedStream::new(stream.clone(), progress.clone()));
+        let window = Rc::new(WriteWindow::default());
+        let observed = ObservedStream::new(stream.clone(), progress.clone(), window.clone());
+        let io = TokioIo::new(observed);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(io)
@@ -82,9 +107,10 @@
             stream,
             sender,
             progress,
+            window,
             driver,
             idle_for: None,
-            _permit: permit,
+            _resources: resources,
         })
     }
 
@@ -94,7 +120,10 @@
         request: Request<Bytes>,
     ) -> hyper::Result<Response<Incoming>> {
         self.progress.begin_request(request.body().len());
-        self.sender.send_request(request.map(Full::new)).await
+        self.window.reset();
+        let window = self.window.clone();
+        let request = request.map(|data| RequestBody::new(data, window));
+        self.sender.send_request(request).await
     }
 
     /// The endpoint to which the connection leads.
--- a/crates/router/src/upstream/mod.rs
+++ b/crates/router/src/upstream/mod.rs
@@ -9,6 +9,7 @@
 mod observed_stream;
 mod pool;
 mod progress;
+mod request_body;
 mod response;
 mod stream_tail;
 
@@ -24,9 +25,12 @@
 
 use crate::core::{AttemptId, AttemptSpec, CoreEvent, Endpoint, Handle, Outbound};
 use crate::gossip::GossipSocket;
+use crate::memory::{MemoryLedger, Reclaim};
 use crate::tasks::TaskSpawner;
 use attempt::{Attempt, AttemptEndGuard};
 use pool::ConnectionPool;
+#[cfg(test)]
+pub(crate) use pool::CONNECTION_BYTES;
 
 /// Maximum number of bytes buffered of a response body. Of an event stream, the first event is
 /// buffered until it exceeds this limit; the rest of a stream is relayed without buffering.
@@ -49,6 +53,8 @@
     pub resumable_stream_idle_timeout: Duration,
     /// Names of the values in load reports.
     pub load_report_columns: LoadReportSettings,
+    /// The memory of the router.
+    pub memory: MemoryLedger,
 }
 
 /// Makes the calls to endpoints that the core requests, and sends the core's gossip to other
@@ -81,6 +87,12 @@
     request_written: watch::Receiver<bool>,
 }
 
+impl Reclaim for Shared {
+    fn reclaim(&self) {
+        self.pool.evict_longest_idle();
+    }
+}
+
 impl Upstream {
     /// Creates an upstream that sends its events to `handle` and spawns its tasks with `tasks`.
     /// Must be called within a `LocalSet`.
@@ -94,6 +106,7 @@
             options.connection_limit,
             options.connect_timeout,
             options.endpoint_idle_timeout,
+            options.memory.clone(),
         );
         let shared = Rc::new(Shared {
             handle,
@@ -102,6 +115,8 @@
             options,
         });
         tasks.spawn(close_expired_connections(Rc::downgrade(&shared)));
+        let reclaimer = Rc::downgrade(&(shared.clone() as Rc<dyn Reclaim>));
+        shared.options.memory.add_reclaimer(reclaimer);
         Upstream {
             shared,
             attempts: AttemptTable::default(),
--- a/crates/router/src/upstream/observed_stream.rs
+++ b/crates/router/src/upstream/observed_stream.rs
@@ -10,17 +10,28 @@
 
 use super::progress::WireProgress;
 use crate::socket::Socket;
+use crate::write_window::WriteWindow;
 
-/// A stream that records in a [`WireProgress`] what is read and written.
+/// A stream that records in a [`WireProgress`] what is read and written, and in a [`WriteWindow`]
+/// what is written.
 pub(crate) struct ObservedStream {
     stream: Rc<RefCell<Socket>>,
     progress: Rc<WireProgress>,
+    window: Rc<WriteWindow>,
 }
 
 impl ObservedStream {
-    /// Wraps `stream` and records in `progress` what is read and written.
-    pub(crate) fn new(stream: Rc<RefCell<Socket>>, progress: Rc<WireProgress>) -> ObservedStream {
-        ObservedStream { stream, progress }
+    /// Wraps `stream` and records in `progress` and `window` what is read and written.
+    pub(crate) fn new(
+        stream: Rc<RefCell<Socket>>,
+        progress: Rc<WireProgress>,
+        window: Rc<WriteWindow>,
+    ) -> ObservedStream {
+        ObservedStream {
+            stream,
+            progress,
+            window,
+        }
     }
 }
 
@@ -45,6 +56,7 @@
         let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, buf);
         if let Poll::Ready(Ok(length)) = &written {
             self.progress.on_written(&buf[..*length]);
+            self.window.on_written(*length);
         }
         written
     }
--- a/crates/router/src/upstream/pool.rs
+++ b/crates/router/src/upstream/pool.rs
@@ -8,11 +8,12 @@
 use cranetack_routing_policy::EndpointId;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 
-use super::connection::PooledConnection;
+use super::connection::{ConnectionResources, PooledConnection};
 use super::dial::{dial, ConnectError};
 use crate::core::Endpoint;
+use crate::memory::{MemoryLedger, MemoryReservation, Purpose};
 
 /// Maximum number of idle connections per endpoint. Each holds a file descriptor and buffers.
 const MAX_IDLE_PER_ENDPOINT: usize = 4;
@@ -20,6 +21,12 @@
 /// some milliseconds after the first, and it would be taken for the response to the next request.
 const REUSE_DELAY: Duration = Duration::from_millis(30);
 
+/// Memory of a connection, in bytes: the buffers of the HTTP library, and the tasks of the connection
+/// and its attempt.
+pub(crate) const CONNECTION_BYTES: usize = 26 * 1024;
+/// Delay before memory for a connection is asked for again.
+const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(5);
+
 struct IdleConnection {
     connection: PooledConnection,
     /// When the connection was returned to the pool.
@@ -36,6 +43,7 @@
     permits: Arc<Semaphore>,
     connect_timeout: Duration,
     idle_timeout: Duration,
+    memory: MemoryLedger,
 }
 
 impl ConnectionPool {
@@ -45,6 +53,7 @@
         limit: usize,
         connect_timeout: Duration,
         endpoint_idle_timeout: Duration,
+        memory: MemoryLedger,
     ) -> ConnectionPool {
         ConnectionPool {
             idle: RefCell::default(),
@@ -52,6 +61,7 @@
             permits: Arc::new(Semaphore::new(limit)),
             connect_timeout,
             idle_timeout: endpoint_idle_timeout / 2,
+            memory,
         }
     }
 
@@ -99,24 +109,45 @@
         deadline: Instant,
     ) -> Result<PooledConnection, ConnectError> {
         let deadline = deadline.min(Instant::now() + self.connect_timeout);
-        if self.permits.available_permits() == 0 {
-            self.evict_longest_idle();
-        }
-        let permit = timeout_at(deadline, self.permits.clone().acquire_owned())
+        let resources = timeout_at(deadline, self.acquire_resources())
             .await
-            .ok()
-            .and_then(Result::ok)
-            .ok_or(ConnectError::LocalResources)?;
+            .map_err(|_| ConnectError::LocalResources)?;
         let address = endpoint.address();
         let stream = dial(deadline, || TcpStream::connect(address)).await?;
         // The result is ignored: without TCP_NODELAY small requests are delayed, but still arrive.
         let _ = stream.set_nodelay(true);
         let number = self.next_number.replace(self.next_number.get() + 1);
-        PooledConnection::start(number, endpoint, address, stream, permit)
+        PooledConnection::start(number, endpoint, address, stream, resources)
             .await
             .map_err(|_| ConnectError::Endpoint)
     }
 
+    /// Waits for what a new connection needs. Idle connections are closed if they hold it.
+    async fn acquire_resources(&self) -> ConnectionResources {
+        loop {
+            if self.permits.available_permits() == 0 {
+                self.evict_longest_idle();
+            }
+            let memory = self.acquire_memory().await;
+            // The semaphore is never closed.
+            if let Ok(permit) = self.permits.clone().acquire_owned().await {
+                return ConnectionResources::new(permit, memory);
+            }
+        }
+    }
+
+    async fn acquire_memory(&self) -> MemoryReservation {
+        loop {
+            // A failed reservation closes an idle connection.
+            for _ in 0..2 {
+                if let Some(memory) = self.memory.reserve(Purpose::Fixed, CONNECTION_BYTES) {
+                    return memory;
+                }
+            }
+            sleep(MEMORY_RETRY_DELAY).await;
+        }
+    }
+
     /// Returns a connection to the pool after a complete response. The connection is closed if it
     /// cannot take another request.
     pub(crate) async fn release(&self, mut connection: PooledConnection) {
@@ -155,7 +186,7 @@
     }
 
     /// Closes the connection that has been idle longest.
-    fn evict_longest_idle(&self) {
+    pub(super) fn evict_longest_idle(&self) {
         let mut idle = self.idle.borrow_mut();
         let oldest = idle
             .values_mut()
--- a/crates/router/src/upstream/pool/tests.rs
+++ b/crates/router/src/upstream/pool/tests.rs
@@ -13,7 +13,12 @@
     run_test(async {
         let server = FakeServer::start(1, Behaviour::Answer).await;
         let endpoint = Endpoint::new("a", server.address);
-        let pool = ConnectionPool::new(9, Duration::from_secs(1), Duration::from_secs(60));
+        let pool = ConnectionPool::new(
+            9,
+            Duration::from_secs(1),
+            Duration::from_secs(60),
+            MemoryLedger::unlimited(),
+        );
         let deadline = Instant::now() + Duration::from_secs(9);
         let mut connections = Vec::new();
         for _ in 0..2 * MAX_IDLE_PER_ENDPOINT {
@@ -31,7 +36,12 @@
 async fn pool_with_idle_connection() -> (ConnectionPool, Endpoint, std::net::TcpStream) {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let endpoint = Endpoint::new("a", listener.local_addr().unwrap());
-    let pool = ConnectionPool::new(9, Duration::from_secs(1), Duration::from_secs(60));
+    let pool = ConnectionPool::new(
+        9,
+        Duration::from_secs(1),
+        Duration::from_secs(60),
+        MemoryLedger::unlimited(),
+    );
     let connection = pool
         .connect(&endpoint, Instant::now() + Duration::from_secs(9))
         .await
--- a/crates/router/src/upstream/pool/tests/model.rs
+++ b/crates/router/src/upstream/pool/tests/model.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::core::Endpoint;
+use crate::memory::MemoryLedger;
 use crate::upstream::calls::empty_request;
 use crate::upstream::connection::PooledConnection;
 use crate::upstream::pool::{ConnectionPool, REUSE_DELAY};
@@ -207,6 +208,7 @@
                     CONNECTION_LIMIT,
                     Duration::from_millis(250),
                     2 * IDLE_TIMEOUT,
+                    MemoryLedger::unlimited(),
                 ),
                 endpoints: [Endpoint::new("a", a.address), Endpoint::new("b", b.address)],
                 servers: [a, b],
--- a/crates/router/src/upstream/stream_tail.rs
+++ b/crates/router/src/upstream/stream_tail.rs
@@ -21,10 +21,12 @@
 impl StreamTail {
     /// Adds data that has arrived.
     pub(crate) fn push(&mut self, data: &[u8]) {
-        self.0.extend_from_slice(data);
-        if self.0.len() > 2 * TAIL_BYTES {
-            self.0.drain(..self.0.len() - TAIL_BYTES);
+        let data = &data[data.len().saturating_sub(TAIL_BYTES)..];
+        if self.0.len() + data.len() > 2 * TAIL_BYTES {
+            let kept = TAIL_BYTES.min(self.0.len());
+            self.0.drain(..self.0.len() - kept);
         }
+        self.0.extend_from_slice(data);
     }
 
     /// Returns the report of an attempt that completed with this stream.
--- a/crates/router/src/upstream/tests.rs
+++ b/crates/router/src/upstream/tests.rs
@@ -27,6 +27,7 @@
             stream_idle_timeout: LONG,
             resumable_stream_idle_timeout: LONG,
             load_report_columns: LoadReportSettings::default(),
+            memory: MemoryLedger::unlimited(),
         };
         let mut upstream = Upstream::new(handle, options, None, tasks.spawner());
         let endpoint = Rc::new(Endpoint::new("a", server.address));
--- a/crates/router/tests/core.rs
+++ b/crates/router/tests/core.rs
@@ -12,6 +12,7 @@
     CoreEvent, Endpoint, EndpointEntry, EndpointListUpdate, IncomingRequest, SlotReservation,
 };
 use cranetack_router::exchange::{self, FinalResponse, ForwardedRequest};
+use cranetack_router::memory::MemoryLedger;
 use cranetack_routing_policy::{
     ConnectFailure, EndpointState, Idempotency, KeyScope, Outcome, RequestId, ResetCause,
 };
@@ -246,7 +247,7 @@
 async fn a_request_whose_response_has_begun_gets_no_other_response() {
     let mut harness = CoreHarness::new(Idempotency::Idempotent);
     let response = harness.submit_and_prefill();
-    let (sender, body) = exchange::body_channel();
+    let (sender, body) = exchange::body_channel(&MemoryLedger::unlimited());
     let media_type = "text/event-stream".to_owned();
     harness.core.handle(CoreEvent::StreamStarted {
         attempt: attempt_id(1),
@@ -393,7 +394,7 @@
     harness.handle_pending_events();
     harness.end_attempt(0, Outcome::Prefilled { cached_tokens: 0 });
     assert_eq!(Rc::strong_count(&message), 2);
-    let (_sender, body) = exchange::body_channel();
+    let (_sender, body) = exchange::body_channel(&MemoryLedger::unlimited());
     let media_type = "text/event-stream".to_owned();
     harness.core.handle(CoreEvent::StreamStarted {
         attempt: attempt_id(1),
--- a/crates/soak/src/crowd/clients.rs
+++ b/crates/soak/src/crowd/clients.rs
@@ -76,6 +76,29 @@
     UnreadWholeResponse,
 }
 
+impl ClientKind {
+    fn reads_slowly(self) -> bool {
+        matches!(
+            self,
+            ClientKind::SlowReader
+                | ClientKind::SlowReaderOfLargeEvents
+                | ClientKind::SlowReaderOfErrors
+                | ClientKind::UnreadWholeResponse
+                | ClientKind::LargeBatch
+        )
+    }
+
+    /// Returns how the requests are made that a client of this kind sends without end.
+    fn endless_request(self) -> Option<fn(&MisbehavingClient) -> String> {
+        match self {
+            ClientKind::SmallRequests => Some(MisbehavingClient::small_request),
+            ClientKind::UnknownNames => Some(MisbehavingClient::unknown_class),
+            ClientKind::NewNames => Some(MisbehavingClient::new_names),
+            _ => None,
+        }
+    }
+}
+
 /// All kinds, in the order in which a mixed crowd takes them.
 pub const ALL_KINDS: [ClientKind; 15] = [
     ClientKind::WholeRequests,
@@ -175,15 +198,7 @@
     }
 
     async fn connect_once(&self) -> std::io::Result<()> {
-        let reads_slowly = matches!(
-            self.kind,
-            ClientKind::SlowReader
-                | ClientKind::SlowReaderOfLargeEvents
-                | ClientKind::SlowReaderOfErrors
-                | ClientKind::UnreadWholeResponse
-                | ClientKind::LargeBatch
-        );
-        let stream = if reads_slowly {
+        let stream = if self.kind.reads_slowly() {
             let socket = TcpSocket::new_v4()?;
             socket.set_recv_buffer_size(SLOW_RECEIVE_BUFFER_BYTES)?;
             socket.connect(self.address).await?
@@ -191,22 +206,28 @@
             TcpStream::connect(self.address).await?
         };
         stream.set_nodelay(true)?;
+        if let Some(request) = self.kind.endless_request() {
+            return self.send_without_end(stream, request).await;
+        }
         match self.kind {
-            ClientKind::WholeRequests => self.send_whole_requests(stream).await,
             ClientKind::SlowReader => self.read_slowly(stream, 4_000, 90).await,
             ClientKind::SlowReaderOfLargeEvents => self.read_slowly(stream, 300, 14_000).await,
             ClientKind::SlowReaderOfErrors => self.ignore_errors(stream).await,
+            ClientKind::UnreadWholeResponse => self.leave_unread(stream).await,
+            ClientKind::LargeBatch => self.send_batch(stream).await,
+            ClientKind::ManyFields => self.send_fields(stream, 1_500, true).await,
+            ClientKind::UnfinishedHead => self.send_fields(stream, 90, false).await,
+            _ => self.send_bodies(stream).await,
+        }
+    }
+
+    async fn send_bodies(&self, stream: TcpStream) -> std::io::Result<()> {
+        match self.kind {
+            ClientKind::WholeRequests => self.send_whole_requests(stream).await,
             ClientKind::TinyChunks => self.send_tiny_chunks(stream).await,
             ClientKind::SlowWriter => self.write_slowly(stream).await,
             ClientKind::StopsHalfway => self.stop_halfway(stream).await,
-            ClientKind::ManyFields => self.send_fields(stream, 1_500, true).await,
-            ClientKind::UnfinishedHead => self.send_fields(stream, 90, false).await,
-            ClientKind::SmallRequests => self.send_without_end(stream, Self::small_request).await,
-            ClientKind::UnknownNames => self.send_without_end(stream, Self::unknown_class).await,
-            ClientKind::NewNames => self.send_without_end(stream, Self::new_names).await,
-            ClientKind::Leaver => self.leave(stream).await,
-            ClientKind::LargeBatch => self.send_batch(stream).await,
-            ClientKind::UnreadWholeResponse => self.leave_unread(stream).await,
+            _ => self.leave(stream).await,
         }
     }
 
--- a/crates/soak/src/crowd/play.rs
+++ b/crates/soak/src/crowd/play.rs
@@ -119,16 +119,17 @@
         .frontend_addresses()
         .into_iter()
         .map(|(address, is_platform)| {
-            let clients = UsualClients::new(
+            let clients = Rc::new(UsualClients {
                 address,
                 is_platform,
-                options.plan,
-                options.body_bytes,
-                numbers.clone(),
-                router.is_serving.clone(),
-                router.report.clone(),
-                orders.clone(),
-            );
+                plan: options.plan,
+                body_bytes: options.body_bytes,
+                numbers: numbers.clone(),
+                is_serving: router.is_serving.clone(),
+                report: router.report.clone(),
+                orders: orders.clone(),
+                kept: RefCell::default(),
+            });
             spawn_local(clients.run(options.duration + QUIET_TIME))
         })
         .collect();
--- a/crates/soak/src/crowd/servers.rs
+++ b/crates/soak/src/crowd/servers.rs
@@ -218,18 +218,21 @@
                 .write_all(&whole_response("202 Accepted", body))
                 .await;
         }
-        let mut starts = self.starts.borrow_mut();
-        starts
-            .entry(request.id.clone())
-            .or_default()
-            .push(Instant::now());
-        drop(starts);
+        self.record_start(&request.id);
         if let Some(results) = request.batch_results() {
             return stream.write_all(&whole_response("200 OK", &results)).await;
         }
         self.stream_events(stream, request.plan).await
     }
 
+    fn record_start(&self, id: &str) {
+        let mut starts = self.starts.borrow_mut();
+        starts
+            .entry(id.to_owned())
+            .or_default()
+            .push(Instant::now());
+    }
+
     async fn stream_events(
         &self,
         stream: &mut TcpStream,
--- a/crates/soak/src/crowd/usual_clients.rs
+++ b/crates/soak/src/crowd/usual_clients.rs
@@ -48,7 +48,8 @@
     pub report: Rc<RefCell<PlayReport>>,
     /// The ids of the requests that are not idempotent.
     pub orders: Rc<RefCell<Vec<String>>>,
-    kept: RefCell<Vec<TcpStream>>,
+    /// The connections that are kept.
+    pub kept: RefCell<Vec<TcpStream>>,
 }
 
 /// The result of sending a request over one connection.
@@ -59,31 +60,6 @@
 }
 
 impl UsualClients {
-    /// Creates the clients of a frontend, which send to `address`.
-    #[allow(clippy::too_many_arguments)]
-    pub fn new(
-        address: SocketAddr,
-        is_platform: bool,
-        plan: ResponsePlan,
-        body_bytes: usize,
-        numbers: RequestNumbers,
-        is_serving: Rc<Cell<bool>>,
-        report: Rc<RefCell<PlayReport>>,
-        orders: Rc<RefCell<Vec<String>>>,
-    ) -> Rc<UsualClients> {
-        Rc::new(UsualClients {
-            address,
-            is_platform,
-            plan,
-            body_bytes,
-            numbers,
-            is_serving,
-            report,
-            orders,
-            kept: RefCell::default(),
-        })
-    }
-
     /// Sends requests for a duration, and returns once all of them have ended.
     pub async fn run(self: Rc<Self>, duration: Duration) {
         let end = Instant::now() + duration;
