Do not eject an endpoint for invalid requests or for deadlines that are too short

Outlier detection took each failed attempt for a fault of its endpoint: - a response of status 400, 413, 415 or 422 counted as a server error. It ejected the endpoint for the class, for 0.5 to 8 s, and the request was retried at the next endpoints, which were ejected too; - an attempt that ended at a deadline of a few milliseconds counted as timed out, or as a connection that could not be established, which ejects for all classes. One client could so make all endpoints of a role unavailable; the requests of others waited for the end of the ejection.

Such a response is Outcome::InvalidRequest now: it fails the request at once, which may have been executed, and says nothing about the endpoint.

an_invalid_request_fails_at_once_and_does_not_eject_its_endpoint and a_deadline_that_is_too_short_does_not_eject_the_endpoint fail without the change.

--- a/crates/router/src/core/requests.rs
+++ b/crates/router/src/core/requests.rs
@@ -348,5 +348,6 @@
             | Outcome::Prefilled { .. }
             | Outcome::Rejected(_)
             | Outcome::ServerError
+            | Outcome::InvalidRequest
     )
 }
--- a/crates/router/src/frontend/client_stream.rs
+++ b/crates/router/src/frontend/client_stream.rs
@@ -18,6 +18,8 @@
 
 /// Maximum number of bytes that one read takes from the stream while reading ahead.
 const READ_AHEAD_CHUNK_BYTES: usize = 16 * 1024;
+/// Number of bytes after which reading ahead lets other tasks run.
+const TURN_BYTES: usize = 64 * 1024;
 /// Maximum number of bytes that are discarded between two pauses. With [`DISCARD_PAUSE`], it bounds
 /// the processor time that a client can take by sending without end. What the systems of both sides
 /// can buffer, about 10 MiB, is discarded in less than 50 ms, and a disconnect behind it is
@@ -65,13 +67,19 @@
     /// Reads ahead. `burst_bytes` counts the bytes that are discarded.
     fn poll_read_ahead(&self, cx: &mut Context<'_>, burst_bytes: &mut usize) -> Poll<ReadAheadEnd> {
         let mut chunk = [0; READ_AHEAD_CHUNK_BYTES];
+        let mut turn_bytes = 0;
         while matches!(self.state.activity.get(), Activity::Answering) {
+            if turn_bytes >= TURN_BYTES {
+                cx.waker().wake_by_ref();
+                break;
+            }
             let mut read = ReadBuf::new(&mut chunk);
             let has_failed =
                 ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, &mut read)).is_err();
             if has_failed || read.filled().is_empty() {
                 return Poll::Ready(ReadAheadEnd::Disconnected);
             }
+            turn_bytes += read.filled().len();
             self.state.read_ahead(read.filled());
             if !self.state.pipeline().has_overflowed() {
                 // The HTTP library was polled before these bytes were buffered, so it is polled
--- a/crates/router/src/upstream/response.rs
+++ b/crates/router/src/upstream/response.rs
@@ -11,6 +11,14 @@
 const REJECTION_STATUSES: [StatusCode; 2] =
     [StatusCode::SERVICE_UNAVAILABLE, StatusCode::GATEWAY_TIMEOUT];
 
+/// The statuses that say that the request itself is invalid, whichever endpoint it is sent to.
+const INVALID_REQUEST_STATUSES: [StatusCode; 4] = [
+    StatusCode::BAD_REQUEST,
+    StatusCode::PAYLOAD_TOO_LARGE,
+    StatusCode::UNSUPPORTED_MEDIA_TYPE,
+    StatusCode::UNPROCESSABLE_ENTITY,
+];
+
 /// The meaning of a response's head.
 #[derive(Debug, PartialEq)]
 pub(crate) enum ResponseKind {
@@ -52,6 +60,9 @@
             (_, status) if not_executed && REJECTION_STATUSES.contains(&status) => {
                 ResponseKind::Ended(Outcome::Rejected(RejectReason::Overloaded))
             }
+            (_, status) if INVALID_REQUEST_STATUSES.contains(&status) => {
+                ResponseKind::Ended(Outcome::InvalidRequest)
+            }
             _ => ResponseKind::Ended(Outcome::ServerError),
         }
     }
--- a/crates/router/src/upstream/response/tests.rs
+++ b/crates/router/src/upstream/response/tests.rs
@@ -6,6 +6,7 @@
     not_executed.insert("x-not-run", "1".parse().unwrap());
     let no_headers = HeaderMap::new();
     let error = || ResponseKind::Ended(Outcome::ServerError);
+    let invalid = || ResponseKind::Ended(Outcome::InvalidRequest);
     let rejected = |reason| ResponseKind::Ended(Outcome::Rejected(reason));
     for (expected, status, headers, kind) in [
         (Expected::Stream, 200, &no_headers, ResponseKind::Stream),
@@ -44,7 +45,8 @@
         // The protocol does not define the header for these statuses.
         (Expected::Stream, 200, &not_executed, ResponseKind::Stream),
         (Expected::Stream, 202, &not_executed, error()),
-        (Expected::Stream, 400, &not_executed, error()),
+        (Expected::Stream, 400, &not_executed, invalid()),
+        (Expected::KvState, 422, &no_headers, invalid()),
         (Expected::Stream, 429, &not_executed, error()),
         (Expected::Stream, 502, &not_executed, error()),
     ] {
--- a/crates/routing-policy/src/concurrency.rs
+++ b/crates/routing-policy/src/concurrency.rs
@@ -353,7 +353,7 @@
     }
 
     /// Returns whether an attempt has taken longer than its role's share of the latency objective.
-    fn is_overdue(&self, spec: &RequestSpec, attempt: &Attempt) -> bool {
+    pub(crate) fn is_overdue(&self, spec: &RequestSpec, attempt: &Attempt) -> bool {
         let objective_share = match attempt.role {
             Role::Prefill => PREFILL_OBJECTIVE_SHARE,
             Role::Decode => DECODE_OBJECTIVE_SHARE,
--- a/crates/routing-policy/src/events.rs
+++ b/crates/routing-policy/src/events.rs
@@ -117,6 +117,9 @@
     Completed,
     /// The endpoint responded with an error; the request may have been executed.
     ServerError,
+    /// The endpoint responded that the request is invalid. That is no fault of the endpoint, and it
+    /// does not change if the request is sent again; the request may have been executed.
+    InvalidRequest,
     /// The endpoint rejected the request, which was not executed.
     Rejected(RejectReason),
     /// There was no response in time; the request may have been executed.
--- a/crates/routing-policy/src/outlier.rs
+++ b/crates/routing-policy/src/outlier.rs
@@ -106,7 +106,7 @@
                     .record_failure(interval_per_endpoint, now);
             }
             Outcome::Rejected(_) => ejections.entry_for(None).record_failure(0, now),
-            Outcome::Cancelled | Outcome::NotSent => {}
+            Outcome::InvalidRequest | Outcome::Cancelled | Outcome::NotSent => {}
         }
     }
 }
--- a/crates/routing-policy/src/requests.rs
+++ b/crates/routing-policy/src/requests.rs
@@ -230,6 +230,10 @@
         if may_have_executed(attempt.role, outcome) && request.execution.is_none() {
             request.execution = Some(attempt.execution);
         }
+        if outcome == Outcome::InvalidRequest && !request.is_closed {
+            self.actions.push(Action::Fail(id));
+            request.is_closed = true;
+        }
         self.continue_after_attempt(id);
     }
 
@@ -244,12 +248,15 @@
                 | Outcome::ConnectionReset(ResetCause::StaleIdle)
                 | Outcome::ConnectFailed(ConnectFailure::LocalResources)
         );
-        if !is_unrelated_to_endpoint {
+        if !is_unrelated_to_endpoint && !self.was_short_of_time(&spec, attempt, outcome) {
             self.record_outcome(attempt.endpoint, Some(spec.class), outcome);
         }
         let has_responded = matches!(
             outcome,
-            Outcome::Prefilled { .. } | Outcome::Rejected(_) | Outcome::ServerError
+            Outcome::Prefilled { .. }
+                | Outcome::Rejected(_)
+                | Outcome::ServerError
+                | Outcome::InvalidRequest
         );
         if let Some(endpoint) = self.endpoints.get_mut(attempt.endpoint) {
             if has_responded {
@@ -265,6 +272,14 @@
         self.record_cached_prompt(&spec, attempt, outcome);
     }
 
+    /// Returns whether an attempt ended without a response because the client's deadline is shorter
+    /// than responses usually take. That shows nothing about the endpoint.
+    fn was_short_of_time(&self, spec: &RequestSpec, attempt: &Attempt, outcome: Outcome) -> bool {
+        let has_expired = self.now >= self.parameters.respond_by(spec.deadline);
+        let is_unanswered = matches!(outcome, Outcome::TimedOut | Outcome::ConnectFailed(_));
+        is_unanswered && has_expired && !self.is_overdue(spec, attempt)
+    }
+
     /// Records the work of a successful attempt: uncached prompt tokens for a prefill, else the
     /// duration of the attempt in microseconds.
     fn record_work(&mut self, spec: &RequestSpec, attempt: &Attempt, outcome: Outcome) {
--- a/crates/routing-policy/tests/outliers.rs
+++ b/crates/routing-policy/tests/outliers.rs
@@ -95,3 +95,43 @@
         [(20, 3)]
     );
 }
+
+/// Guards against a client whose invalid requests make endpoints unavailable for all others.
+#[test]
+fn an_invalid_request_fails_at_once_and_does_not_eject_its_endpoint() {
+    let (mut driver, _) = Driver::new(settings(Idempotency::Idempotent), one_lane());
+    driver.arrive(request_spec(1, START));
+    let actions = driver.deliver(attempt_ended(1, 0, PREFILL, Outcome::InvalidRequest));
+    assert!(actions.contains(&Action::Fail(RequestId(1))), "{actions:?}");
+    assert_eq!(routes(&actions), vec![]);
+    assert_eq!(
+        routes(&driver.arrive(request_spec(2, START))),
+        vec![(2, PREFILL)]
+    );
+}
+
+/// Guards against a client whose short deadlines make endpoints unavailable for all others.
+#[test]
+fn a_deadline_that_is_too_short_does_not_eject_the_endpoint() {
+    for outcome in [Outcome::TimedOut, UNREACHABLE] {
+        let (mut driver, _) = Driver::new(settings(Idempotency::Idempotent), one_lane());
+        driver.arrive(RequestSpec {
+            deadline: START + 10_000,
+            ..request_spec(1, START)
+        });
+        driver.advance(10_000);
+        driver.deliver(attempt_ended(1, 0, PREFILL, outcome));
+        let sends = routes(&driver.arrive(request_spec(2, driver.now)));
+        assert!(sends.contains(&(2, PREFILL)), "{outcome:?}: {sends:?}");
+    }
+}
+
+#[test]
+fn an_endpoint_that_does_not_respond_in_the_usual_time_is_ejected() {
+    let (mut driver, _) = Driver::new(settings(Idempotency::Idempotent), one_lane());
+    driver.arrive(request_spec(1, START));
+    driver.advance(SECOND);
+    driver.deliver(attempt_ended(1, 0, PREFILL, Outcome::TimedOut));
+    let sends = routes(&driver.arrive(request_spec(2, driver.now)));
+    assert_eq!(sends, vec![]);
+}
--- a/crates/soak/src/crowd/clients.rs
+++ b/crates/soak/src/crowd/clients.rs
@@ -68,6 +68,9 @@
     UnknownNames,
     /// Sends valid requests with new names and a short deadline without end on one connection.
     NewNames,
+    /// Sends valid requests of both classes with deadlines that cannot be met, without end on one
+    /// connection.
+    ShortDeadlines,
     /// Sends a request and much behind it, and disconnects.
     Leaver,
     /// Sends a large body of many short texts to the inference API, and reads nothing.
@@ -94,13 +97,14 @@
             ClientKind::SmallRequests => Some(MisbehavingClient::small_request),
             ClientKind::UnknownNames => Some(MisbehavingClient::unknown_class),
             ClientKind::NewNames => Some(MisbehavingClient::new_names),
+            ClientKind::ShortDeadlines => Some(MisbehavingClient::short_deadline),
             _ => None,
         }
     }
 }
 
 /// All kinds, in the order in which a mixed crowd takes them.
-pub const ALL_KINDS: [ClientKind; 15] = [
+pub const ALL_KINDS: [ClientKind; 16] = [
     ClientKind::WholeRequests,
     ClientKind::SlowReader,
     ClientKind::SlowReaderOfLargeEvents,
@@ -113,6 +117,7 @@
     ClientKind::SmallRequests,
     ClientKind::UnknownNames,
     ClientKind::NewNames,
+    ClientKind::ShortDeadlines,
     ClientKind::Leaver,
     ClientKind::LargeBatch,
     ClientKind::UnreadWholeResponse,
@@ -372,6 +377,21 @@
         )
     }
 
+    fn short_deadline(&self) -> String {
+        let number = self.numbers.next();
+        let class = if number.is_multiple_of(2) {
+            "chat"
+        } else {
+            "order"
+        };
+        let deadline_ms = 20 + number % 50;
+        format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: app\r\nx-request-id: c{number:08x}\r\n\
+             x-class: {class}\r\nx-deadline-ms: {deadline_ms}\r\n\
+             x-extras: prompt_len=100,max_out=20\r\ncontent-length: 2\r\n\r\n{{}}"
+        )
+    }
+
     /// Sends requests at full speed for some seconds, and reads all responses.
     async fn send_without_end(
         &self,
