Let other events be processed after each turn of a busy client connection

Turns (frontend/turns.rs) runs each connection's task. A task that is woken by itself continues only after the runtime has processed other events.

The close was found only behind all unread data, and was late while the thread was busy.

The log has the memory that is reserved, every 10 s at level debug and at the end, and why a request was rejected before its body was read.

--- a/crates/router/src/frontend/body.rs
+++ b/crates/router/src/frontend/body.rs
@@ -157,6 +157,9 @@
             }
             Err(error) => Err(error),
         };
+        if let Err(reason) = &result {
+            tracing::debug!(%reason, declared_length, "request rejected before its body was read");
+        }
         if result.is_err() && is_arriving {
             tokio::task::spawn_local(drain(body));
         }
--- a/crates/router/src/frontend/client_stream.rs
+++ b/crates/router/src/frontend/client_stream.rs
@@ -73,6 +73,10 @@
                 cx.waker().wake_by_ref();
                 break;
             }
+            // The close may be behind more data than can be read soon.
+            if self.stream.borrow().is_closed_by_peer() {
+                return Poll::Ready(ReadAheadEnd::Disconnected);
+            }
             let mut read = ReadBuf::new(&mut chunk);
             let has_failed =
                 ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, &mut read)).is_err();
--- a/crates/router/src/frontend/mod.rs
+++ b/crates/router/src/frontend/mod.rs
@@ -21,6 +21,7 @@
 mod response_body;
 mod segments;
 mod server;
+mod turns;
 
 use std::future::Future;
 
--- a/crates/router/src/frontend/server.rs
+++ b/crates/router/src/frontend/server.rs
@@ -12,6 +12,7 @@
 
 use super::connection_server::serve_connection;
 use super::connections::{ClientConnection, ConnectionLimiter};
+use super::turns::Turns;
 use super::{ClientLimits, Frontend};
 use crate::shutdown::{self, Phase};
 
@@ -34,9 +35,11 @@
     limiter: &Rc<ConnectionLimiter>,
     phase: watch::Receiver<Phase>,
 ) {
+    let turns = Rc::new(Turns::new());
     tokio::select! {
-        () = accept_until_finishing(listener, frontend, limiter, phase) => {}
+        () = accept_until_finishing(listener, frontend, limiter, phase, &turns) => {}
         () = close_expired_connections(limiter) => {}
+        () = turns.grant() => {}
     }
 }
 
@@ -45,9 +48,13 @@
     frontend: F,
     limiter: &Rc<ConnectionLimiter>,
     phase: watch::Receiver<Phase>,
+    turns: &Rc<Turns>,
 ) {
-    let serve =
-        |stream, connection| serve_connection(stream, connection, frontend.clone(), phase.clone());
+    let serve = |stream, connection| {
+        let serving = serve_connection(stream, connection, frontend.clone(), phase.clone());
+        let turns = turns.clone();
+        async move { turns.run(serving).await }
+    };
     let limits = frontend.limits();
     let mut connections = JoinSet::new();
     loop {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -108,6 +108,7 @@
         let mut releases_in_progress = parts.start_core(events, gossip);
         let discovery_done = parts.start_discovery(discovery_address);
         parts.start_shutdown_notification();
+        parts.start_memory_log();
         let readiness = Readiness::new(discovery_done, parts.phase.clone());
         let site = &parts.config.site;
         let service = Platform::new(parts.frontend_context(), site, readiness);
@@ -120,7 +121,11 @@
         );
         // Proxies stay subscribed for as long as they run; no accepted request depends on them.
         drop(control_tasks);
-        tracing::info!("all accepted requests answered");
+        tracing::info!(
+            memory_peak_bytes = parts.memory.peak(),
+            memory_refused = parts.memory.refused(),
+            "all accepted requests answered"
+        );
         tokio::time::sleep(FINAL_EVENTS_DELAY).await;
         let released = releases_in_progress.wait_for(|count| *count == 0);
         if timeout(FINAL_RELEASES_TIMEOUT, released).await.is_err() {
--- a/crates/router/src/router/parts.rs
+++ b/crates/router/src/router/parts.rs
@@ -32,6 +32,8 @@
 /// stream loses it, so this leaves only a small margin to the 5 s for which clients wait after the
 /// last event.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(4_500);
+/// Interval between two lines of the log on the router's memory.
+const MEMORY_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Time that establishing a connection may take, if the settings do not set one.
 const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time after which endpoints close idle connections, if the settings do not set one.
@@ -171,6 +173,22 @@
         });
     }
 
+    /// Starts to log, at intervals, what the router holds and how often it had no room.
+    pub(super) fn start_memory_log(&self) {
+        let memory = self.memory.clone();
+        self.tasks.spawn(async move {
+            loop {
+                tokio::time::sleep(MEMORY_LOG_INTERVAL).await;
+                tracing::debug!(
+                    reserved_bytes = memory.reserved(),
+                    peak_bytes = memory.peak(),
+                    refused = memory.refused(),
+                    "memory"
+                );
+            }
+        });
+    }
+
     /// Starts the control service. It ends when the returned task group is dropped.
     pub(super) fn start_control(&self, listener: TcpListener, setup: control::Setup) -> TaskGroup {
         tracing::info!(listen = %setup.listen, "serving the control service over xDS");
--- a/crates/router/src/socket.rs
+++ b/crates/router/src/socket.rs
@@ -1,13 +1,14 @@
 //! A TCP stream that tolerates short and interrupted reads and writes.
 
+use std::future::Future;
 use std::io::{self, ErrorKind};
 use std::mem::MaybeUninit;
 use std::os::fd::{AsFd, BorrowedFd};
-use std::pin::Pin;
-use std::task::{ready, Context, Poll};
+use std::pin::{pin, Pin};
+use std::task::{ready, Context, Poll, Waker};
 
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
 /// A TCP stream that waits for a readiness event only after the system has reported that a call
@@ -34,6 +35,14 @@
             .is_ok_and(|length| length > 0)
     }
 
+    /// Returns whether the system has been told that the other side has closed the connection. There
+    /// may be unread data before the close.
+    pub(crate) fn is_closed_by_peer(&self) -> bool {
+        let ready = pin!(self.0.ready(Interest::READABLE));
+        let mut cx = Context::from_waker(Waker::noop());
+        matches!(ready.poll(&mut cx), Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    }
+
     /// Makes the system reset the connection when it is closed, and drop what it has not sent yet.
     pub(crate) fn reset_on_close(&self) {
         // This fails only if the connection has ended already.
