Count what the allocator and the HTTP library keep, and hold bodies in segments

Bodies of the platform API are segments of 16 KiB (Payload), forwarded as they are; - the task of a connection held its future twice; - data counts with a quarter more, for the space between buffers; - what waits for its turn leaves half of the memory for data to the bodies of requests that are served. Data may take what the connections that the descriptors allow cannot need, so that large bodies of the inference API are served as before where there is memory.

--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -7,15 +7,16 @@
 //! do not depend on each other.
 
 mod body;
+mod payload;
 
 use std::fmt;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::HeaderMap;
 use tokio::sync::oneshot;
 
 pub use body::{body_channel, BodySender, BodyStream, IncompleteBody};
+pub use payload::Payload;
 
 /// A request as it is forwarded to an endpoint.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -27,7 +28,7 @@
     /// The client's further headers that are meant for the endpoint, unchanged.
     pub headers: HeaderMap,
     /// The body.
-    pub body: Bytes,
+    pub body: Payload,
 }
 
 /// The one final response to a request.
--- a/crates/router/src/frontend/body.rs
+++ b/crates/router/src/frontend/body.rs
@@ -15,11 +15,16 @@
 
 use super::byte_budget::{ByteBudget, ByteReservation};
 use super::connections::RequestTracker;
+use crate::exchange::Payload;
 use crate::shutdown::{self, Phase};
 
 /// Number of compressed bytes that are decompressed before the byte reservation is extended. The
 /// output is reserved only after it has been produced, and gzip can expand a byte to a thousand.
 const COMPRESSED_CHUNK_SIZE: usize = 1_024;
+/// Maximum size of a segment of a body, in bytes.
+const SEGMENT_BYTES: usize = 16 * 1024;
+/// Minimum size of a segment of a body, in bytes: a body may arrive in very small parts.
+const MIN_SEGMENT_BYTES: usize = 512;
 /// Maximum number of bytes of a rejected body that the router reads and discards.
 const DRAIN_LIMIT_BYTES: usize = 64 * 1024 * 1024;
 /// Maximum time for which the router reads and discards a rejected body.
@@ -108,20 +113,50 @@
         self.waited
     }
 
-    /// Reads and decompresses the whole body. The caller must keep the reservation for as long as
-    /// it keeps the bytes.
-    ///
-    /// Nothing is read, and no `100 Continue` is sent, before the declared length is reserved. If
-    /// `headers` are given, a body that they declare as anything but JSON is rejected, and their
-    /// content coding is decoded; without `headers`, the bytes are returned as they arrived.
-    ///
-    /// A body that is incomplete at the end of the accept window of a shutdown is rejected.
+    /// Reads and decompresses the whole body. A body that `headers` declare as anything but JSON is
+    /// rejected. The caller must keep the reservation for as long as it keeps the bytes.
     pub async fn read_to_end(
         self,
-        headers: Option<&HeaderMap>,
+        headers: &HeaderMap,
         size_limit: usize,
         budget: &ByteBudget,
     ) -> Result<(Bytes, ByteReservation), BodyError> {
+        let read = async |buffer: BodyBuffer, body: &mut Incoming, head: BodyHead| match head.coding
+        {
+            ContentCoding::Identity => buffer.read_identity(body, head.declared_length).await,
+            ContentCoding::Gzip => buffer.read_gzip(body).await,
+        };
+        self.read_with(Some(headers), size_limit, budget, read)
+            .await
+    }
+
+    /// Reads the whole body as it arrives. The caller must keep the reservation for as long as it
+    /// keeps the bytes.
+    pub async fn read_segments(
+        self,
+        size_limit: usize,
+        budget: &ByteBudget,
+    ) -> Result<(Payload, ByteReservation), BodyError> {
+        let read = async |buffer: BodyBuffer, body: &mut Incoming, head: BodyHead| {
+            buffer.read_segments(body, head.declared_length).await
+        };
+        self.read_with(None, size_limit, budget, read).await
+    }
+
+    /// Reads the body with `read`. Nothing is read, and no `100 Continue` is sent, before the
+    /// declared length is reserved. A body that is incomplete at the end of the accept window of a
+    /// shutdown is rejected.
+    async fn read_with<T>(
+        self,
+        headers: Option<&HeaderMap>,
+        size_limit: usize,
+        budget: &ByteBudget,
+        read: impl AsyncFnOnce(
+            BodyBuffer,
+            &mut Incoming,
+            BodyHead,
+        ) -> Result<(T, ByteReservation), BodyError>,
+    ) -> Result<(T, ByteReservation), BodyError> {
         if self.has_ambiguous_length {
             return Err(BodyError::AmbiguousLength);
         }
@@ -141,10 +176,11 @@
                     reservation,
                 };
                 is_arriving = true;
-                let reading = timeout_at(
-                    self.deadline,
-                    buffer.read(&mut body, coding, declared_length),
-                );
+                let head = BodyHead {
+                    coding,
+                    declared_length,
+                };
+                let reading = timeout_at(self.deadline, read(buffer, &mut body, head));
                 match shutdown::receive_in_accept_window(self.phase, reading).await {
                     Some(read) => read.unwrap_or(Err(BodyError::TimedOut)),
                     None => {
@@ -239,6 +275,13 @@
     essence.trim() == "application/json" && is_utf8
 }
 
+/// What the head of a request says about its body.
+#[derive(Clone, Copy)]
+struct BodyHead {
+    coding: ContentCoding,
+    declared_length: usize,
+}
+
 /// A reader that keeps a body within its size limit and the byte budget.
 struct BodyBuffer {
     size_limit: usize,
@@ -246,18 +289,6 @@
 }
 
 impl BodyBuffer {
-    async fn read(
-        self,
-        body: &mut Incoming,
-        coding: ContentCoding,
-        declared_length: usize,
-    ) -> Result<(Bytes, ByteReservation), BodyError> {
-        match coding {
-            ContentCoding::Identity => self.read_identity(body, declared_length).await,
-            ContentCoding::Gzip => self.read_gzip(body).await,
-        }
-    }
-
     async fn read_identity(
         mut self,
         body: &mut Incoming,
@@ -277,6 +308,23 @@
         Ok((plain.freeze(), self.reservation))
     }
 
+    /// Reads a body into segments of limited size.
+    async fn read_segments(
+        mut self,
+        body: &mut Incoming,
+        declared_length: usize,
+    ) -> Result<(Payload, ByteReservation), BodyError> {
+        let mut segments = SegmentBuilder::new(declared_length);
+        while let Some(data) = next_data(body).await? {
+            let length = segments.len() + data.len();
+            self.reserve(length, length + SEGMENT_BYTES)?;
+            segments.push(&data);
+        }
+        let length = segments.len();
+        self.reservation.shrink_to(length);
+        Ok((segments.finish(), self.reservation))
+    }
+
     async fn read_gzip(
         mut self,
         body: &mut Incoming,
@@ -308,6 +356,62 @@
     }
 }
 
+/// Collects data in segments.
+struct SegmentBuilder {
+    full: Vec<Bytes>,
+    last: BytesMut,
+    length: usize,
+    declared_length: usize,
+}
+
+impl SegmentBuilder {
+    fn new(declared_length: usize) -> SegmentBuilder {
+        SegmentBuilder {
+            full: Vec::new(),
+            last: BytesMut::new(),
+            length: 0,
+            declared_length,
+        }
+    }
+
+    fn len(&self) -> usize {
+        self.length
+    }
+
+    fn push(&mut self, mut data: &[u8]) {
+        while !data.is_empty() {
+            let room = self.last.capacity() - self.last.len();
+            if room == 0 {
+                self.begin_segment(data.len());
+                continue;
+            }
+            let (part, rest) = data.split_at(room.min(data.len()));
+            self.last.extend_from_slice(part);
+            self.length += part.len();
+            data = rest;
+        }
+    }
+
+    /// Begins a segment that has room for what is still to come, as far as that is known.
+    fn begin_segment(&mut self, data_bytes: usize) {
+        let expected = self.declared_length.saturating_sub(self.length);
+        let capacity = expected
+            .max(data_bytes)
+            .clamp(MIN_SEGMENT_BYTES, SEGMENT_BYTES);
+        let full = std::mem::replace(&mut self.last, BytesMut::with_capacity(capacity));
+        if !full.is_empty() {
+            self.full.push(full.freeze());
+        }
+    }
+
+    fn finish(mut self) -> Payload {
+        if !self.last.is_empty() {
+            self.full.push(self.last.freeze());
+        }
+        Payload::from_segments(self.full)
+    }
+}
+
 /// Returns the data of the next data frame, or `None` at the end of the body.
 async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, BodyError> {
     while let Some(frame) = body.frame().await {
--- a/crates/router/src/frontend/body/tests.rs
+++ b/crates/router/src/frontend/body/tests.rs
@@ -41,3 +41,28 @@
         );
     }
 }
+
+/// Guards against bodies that take many times their size as they arrive in very small parts, and
+/// against one large buffer for each body.
+#[test]
+fn a_body_is_held_in_segments_however_it_arrives() {
+    let data: Vec<u8> = (0..3 * SEGMENT_BYTES).map(|byte| byte as u8).collect();
+    for (declared_length, part_bytes, most_segments) in [
+        (data.len(), 7_000, 3),
+        (data.len(), 1, 3),
+        (0, 1, data.len() / MIN_SEGMENT_BYTES),
+    ] {
+        let mut segments = SegmentBuilder::new(declared_length);
+        for part in data.chunks(part_bytes) {
+            segments.push(part);
+        }
+        let payload = segments.finish();
+        assert_eq!(payload.segments().concat(), data);
+        assert_eq!(payload.len(), data.len());
+        assert!(payload.segments().len() <= most_segments);
+        assert!(payload
+            .segments()
+            .iter()
+            .all(|segment| segment.len() <= SEGMENT_BYTES));
+    }
+}
--- a/crates/router/src/frontend/client_stream.rs
+++ b/crates/router/src/frontend/client_stream.rs
@@ -159,6 +159,9 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let read = self.poll_next_bytes(cx, buf);
+        if buf.remaining() == 0 {
+            self.state.read_buffer_filled();
+        }
         if matches!(self.state.activity.get(), Activity::Idle(_))
             && self.state.pipeline().is_receiving()
         {
--- a/crates/router/src/frontend/connection_server.rs
+++ b/crates/router/src/frontend/connection_server.rs
@@ -108,7 +108,7 @@
         if let Poll::Ready(result) = serving.as_mut().poll(cx) {
             return Poll::Ready(result);
         }
-        // What has arrived is read first: it may complete a request. `RequestBody::read_to_end`
+        // What has arrived is read first: it may complete a request. `RequestBody::read_with`
         // rejects a request that was read too late, or whose body is still incomplete.
         if is_closing || socket.borrow().has_received() {
             return Poll::Pending;
--- a/crates/router/src/frontend/connection_state.rs
+++ b/crates/router/src/frontend/connection_state.rs
@@ -28,6 +28,10 @@
 /// buffer of an idle connection keeps the size that its last request body required: with a larger
 /// limit, memory would grow with the number of clients that send one request and stay connected.
 pub(super) const READ_BUFFER_LIMIT: usize = 16 * 1024;
+/// Memory of a connection, in bytes: the first buffers of the HTTP library, and the connection's task.
+pub(super) const CONNECTION_BYTES: usize = 20 * 1024;
+/// Memory by which the library's read buffer grows once a read has filled it, in bytes.
+const READ_BUFFER_GROWTH_BYTES: usize = 8 * 1024;
 /// Minimum idle time before a connection may be evicted, because its request may be in transit.
 const EVICTION_GRACE: Duration = Duration::from_millis(50);
 /// Time that is added to the idle time of a connection without a complete request, so that it is
@@ -72,6 +76,8 @@
 /// The state of a client connection.
 pub(super) struct ConnectionState {
     limits: ClientLimits,
+    /// The memory of the connection itself.
+    memory: RefCell<MemoryReservation>,
     /// The memory of the bytes that were read ahead.
     read_ahead_memory: RefCell<MemoryReservation>,
     /// The current activity of the connection.
@@ -92,6 +98,7 @@
     pub(super) fn new(limits: ClientLimits, memory: &MemoryLedger) -> ConnectionState {
         ConnectionState {
             limits,
+            memory: RefCell::new(memory.empty_reservation(Purpose::Fixed)),
             read_ahead_memory: RefCell::new(memory.empty_reservation(Purpose::Backlog)),
             activity: Cell::new(Activity::Receiving(Instant::now())),
             blocked_since: Cell::default(),
@@ -102,6 +109,21 @@
         }
     }
 
+    /// Reserves the memory of the connection. It has been accepted already, so it counts even if
+    /// there is no room for it. Returns whether there is.
+    pub(super) fn reserve_connection(&self) -> bool {
+        let mut memory = self.memory.borrow_mut();
+        let has_room = memory.try_grow_to(CONNECTION_BYTES);
+        memory.grow_to(CONNECTION_BYTES);
+        has_room
+    }
+
+    /// Records that a read has filled the HTTP library's buffer, which grows then and stays so.
+    pub(super) fn read_buffer_filled(&self) {
+        let bytes = CONNECTION_BYTES + READ_BUFFER_GROWTH_BYTES;
+        self.memory.borrow_mut().grow_to(bytes);
+    }
+
     /// Returns the limits of the connection's frontend.
     pub(super) fn limits(&self) -> &ClientLimits {
         &self.limits
--- a/crates/router/src/frontend/connections.rs
+++ b/crates/router/src/frontend/connections.rs
@@ -16,7 +16,7 @@
 use tokio::time::{sleep_until, timeout, Instant};
 
 use super::client_stream::{ReadAhead, TrackedStream};
-use super::connection_state::{Activity, ClientLimits, ConnectionState};
+use super::connection_state::{Activity, ClientLimits, ConnectionState, CONNECTION_BYTES};
 use super::pipeline::{Admission, Pipeline};
 use crate::closing::{discard_received, shut_down_and_discard};
 use crate::memory::{MemoryLedger, MemoryReservation, Purpose, Reclaim};
@@ -36,9 +36,6 @@
 /// use file descriptors that are reserved for other purposes.
 const MAX_REJECTING_CONNECTIONS: usize = 8;
 
-/// Memory of a client connection, in bytes: the buffers of the HTTP library, and the connection's
-/// task.
-const CONNECTION_BYTES: usize = 18 * 1024;
 /// Memory of a request beside its head and body, in bytes: its tasks, and its records in the core and
 /// the policy.
 const REQUEST_BYTES: usize = 4 * 1024;
@@ -56,7 +53,6 @@
 
 impl ConnectionLimiter {
     /// Memory of a connection with a request whose head and body are small, in bytes.
-    #[cfg(test)]
     pub(crate) const BYTES_PER_REQUEST: usize = CONNECTION_BYTES + REQUEST_BYTES;
 
     /// Creates a limiter that permits at most `connection_limit` connections, whose memory is
@@ -126,12 +122,9 @@
         let connection_id = self
             .next_connection_id
             .replace(self.next_connection_id.get() + 1);
-        let mut memory = self.memory.empty_reservation(Purpose::Fixed);
-        let has_memory = memory.try_grow_to(CONNECTION_BYTES);
-        // The connection has been accepted already, so it counts even if there is no room for it.
-        memory.grow_to(CONNECTION_BYTES);
-        let is_rejecting = !has_memory || permit.as_ref().is_some_and(|permit| permit.is_rejecting);
         let state = ConnectionState::new(limits, &self.memory);
+        let has_memory = state.reserve_connection();
+        let is_rejecting = !has_memory || permit.as_ref().is_some_and(|permit| permit.is_rejecting);
         let state = Rc::new(state);
         self.connections
             .borrow_mut()
@@ -142,7 +135,6 @@
             state,
             is_rejecting,
             _permit: permit,
-            _memory: memory,
         }
     }
 
@@ -181,7 +173,7 @@
     pub(crate) is_rejecting: bool,
 }
 
-/// The permit, the memory and the state of a client connection. Dropping it releases them.
+/// The permit and the state of a client connection. Dropping it releases both.
 pub(crate) struct ClientConnection {
     limiter: Rc<ConnectionLimiter>,
     connection_id: u64,
@@ -189,7 +181,6 @@
     /// Whether the connection's requests are rejected, as too many connections are in use.
     is_rejecting: bool,
     _permit: Option<ConnectionPermit>,
-    _memory: MemoryReservation,
 }
 
 impl Drop for ClientConnection {
--- a/crates/router/src/frontend/inference/request.rs
+++ b/crates/router/src/frontend/inference/request.rs
@@ -138,7 +138,7 @@
             target: format!("{path}{}", self.query),
             media_type: "application/json".to_owned(),
             headers: HeaderMap::new(),
-            body,
+            body: body.into(),
         }
     }
 
--- a/crates/router/src/frontend/inference/service.rs
+++ b/crates/router/src/frontend/inference/service.rs
@@ -183,11 +183,7 @@
             return Err(RequestError::DeadlineExceeded);
         }
         let (body, reservation) = body
-            .read_to_end(
-                Some(&head.headers),
-                self.setup.limits.body_bytes,
-                &self.budget,
-            )
+            .read_to_end(&head.headers, self.setup.limits.body_bytes, &self.budget)
             .await
             .map_err(RequestError::Body)?;
         // What is needed of the head has been copied.
--- a/crates/router/src/frontend/platform.rs
+++ b/crates/router/src/frontend/platform.rs
@@ -19,7 +19,7 @@
 use super::response::{set_retry_after, streaming_response};
 use super::{BodyError, Frontend, FrontendContext, Readiness, RequestBody, ResponseBody};
 use crate::core::{Handle, IncomingRequest};
-use crate::exchange::{FinalResponse, ForwardedRequest};
+use crate::exchange::{FinalResponse, ForwardedRequest, Payload};
 
 const CHAT_PATH: &str = "/v1/chat/completions";
 const READINESS_PATH: &str = "/up";
@@ -71,9 +71,7 @@
     ) -> Result<Response<ResponseBody>, RequestError> {
         let (head, body) = request.into_parts();
         let waited = body.waited();
-        let (body, reservation) = body
-            .read_to_end(None, REQUEST_BODY_LIMIT, &self.budget)
-            .await?;
+        let (body, reservation) = body.read_segments(REQUEST_BODY_LIMIT, &self.budget).await?;
         let mut incoming = decode(&head, body, &self.class_names)?;
         // What is forwarded has been copied out of the head.
         drop(head);
@@ -196,7 +194,7 @@
 
 fn decode(
     head: &RequestHead,
-    body: Bytes,
+    body: Payload,
     class_names: &[String],
 ) -> Result<IncomingRequest, RequestError> {
     let headers = &head.headers;
@@ -242,7 +240,7 @@
 }
 
 /// Builds the request that is forwarded to an endpoint.
-fn forwarded_request(head: &RequestHead, body: Bytes) -> Result<ForwardedRequest, RequestError> {
+fn forwarded_request(head: &RequestHead, body: Payload) -> Result<ForwardedRequest, RequestError> {
     let target = match head.uri.path_and_query() {
         Some(target) => target.as_str(),
         None => CHAT_PATH,
--- a/crates/router/src/frontend/server.rs
+++ b/crates/router/src/frontend/server.rs
@@ -52,6 +52,8 @@
 ) {
     let serve = |stream, connection| {
         let serving = serve_connection(stream, connection, frontend.clone(), phase.clone());
+        // Boxed, as the task would hold it twice.
+        let serving = Box::pin(serving);
         let turns = turns.clone();
         async move { turns.run(serving).await }
     };
--- a/crates/router/src/frontend/turns.rs
+++ b/crates/router/src/frontend/turns.rs
@@ -8,7 +8,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::future::{poll_fn, Future};
-use std::pin::pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -77,8 +77,10 @@
     }
 
     /// Runs the task of a connection turn by turn.
-    pub(super) async fn run<Output>(&self, connection: impl Future<Output = Output>) -> Output {
-        let mut connection = pin!(connection);
+    pub(super) async fn run<Connection: Future + Unpin>(
+        &self,
+        mut connection: Connection,
+    ) -> Connection::Output {
         let turn_waker = Arc::new(TurnWaker::default());
         let waker = Waker::from(turn_waker.clone());
         let mut waiting: Option<Rc<WaitingTurn>> = None;
@@ -89,7 +91,7 @@
             waiting = None;
             turn_waker.begin(cx.waker());
             let started = Instant::now();
-            let polled = connection.as_mut().poll(&mut Context::from_waker(&waker));
+            let polled = Pin::new(&mut connection).poll(&mut Context::from_waker(&waker));
             if turn_waker.end() && polled.is_pending() {
                 if started.elapsed() >= LONG_TURN {
                     waiting = Some(self.wait(cx.waker()));
--- a/crates/router/src/frontend/turns/tests.rs
+++ b/crates/router/src/frontend/turns/tests.rs
@@ -32,7 +32,7 @@
         spawn_local(async move { granting.grant().await });
         let counts: Vec<_> = (0..BUSY_CONNECTIONS).map(|_| Rc::default()).collect();
         for count in &counts {
-            let connection = busy_connection(turn_time, Rc::clone(count));
+            let connection = Box::pin(busy_connection(turn_time, Rc::clone(count)));
             let turns = turns.clone();
             spawn_local(async move { turns.run(connection).await });
         }
--- a/crates/router/src/memory.rs
+++ b/crates/router/src/memory.rs
@@ -9,13 +9,20 @@
 
 /// Eighths of the capacity that are kept for data: connections alone cannot take them.
 const DATA_EIGHTHS: usize = 1;
-/// Eighths of the capacity that are kept for connections and the fixed part of requests: data cannot
-/// take them.
-const FIXED_EIGHTHS: usize = 5;
+/// Eighths of the capacity that are kept at most for connections and the fixed part of requests: data
+/// cannot take them.
+const FIXED_EIGHTHS: usize = 6;
+/// Data counts with as much more as its size divided by this: its buffers have many sizes and come and
+/// go, and the allocator cannot use all of the space between them.
+const ALLOCATOR_DIVISOR: usize = 4;
 /// One client's data may take the memory that is free for data divided by this. While large
 /// requests hold most of the memory, there is room for small ones.
 const CLIENT_DATA_DIVISOR: usize = 8;
 
+/// The memory that data may take at most, divided by this, is kept for the bodies of requests that are
+/// served: what waits for its turn cannot take it.
+const BACKLOG_DIVISOR: usize = 2;
+
 /// What memory is reserved for. It decides how much of the free memory may be taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Purpose {
@@ -30,6 +37,18 @@
     BulkData,
 }
 
+impl Purpose {
+    /// Returns the memory that `bytes` bytes count as.
+    fn weigh(self, bytes: usize) -> usize {
+        match self {
+            Purpose::Fixed => bytes,
+            Purpose::ClientData | Purpose::Backlog | Purpose::BulkData => {
+                bytes.saturating_add(bytes / ALLOCATOR_DIVISOR)
+            }
+        }
+    }
+}
+
 /// Called when a reservation fails, to close what is idle.
 pub trait Reclaim {
     /// Closes an idle connection, if there is one. It may be closed some time later.
@@ -38,6 +57,8 @@
 
 struct Account {
     capacity: usize,
+    /// What data cannot take.
+    kept_for_fixed: usize,
     fixed: Cell<usize>,
     data: Cell<usize>,
     peak: Cell<usize>,
@@ -45,12 +66,17 @@
     reclaimers: RefCell<Vec<Weak<dyn Reclaim>>>,
 }
 
-impl Account {
-    /// Returns a part of the capacity.
-    fn eighths(&self, count: usize) -> usize {
-        self.capacity / 8 * count
-    }
+/// Returns by how much the data of a client that holds `held` bytes may grow while `free` are free.
+fn share_of_client(free: usize, held: usize) -> usize {
+    (free.saturating_add(held) / CLIENT_DATA_DIVISOR).saturating_sub(held)
+}
+
+/// Returns a part of the capacity.
+fn eighths(capacity: usize, count: usize) -> usize {
+    capacity / 8 * count
+}
 
+impl Account {
     /// Returns the count of the bytes that are reserved for this purpose and those like it.
     fn count(&self, purpose: Purpose) -> &Cell<usize> {
         match purpose {
@@ -67,8 +93,15 @@
 impl MemoryLedger {
     /// Creates a ledger of `capacity` bytes.
     pub fn new(capacity: usize) -> MemoryLedger {
+        MemoryLedger::with_fixed_need(capacity, usize::MAX)
+    }
+
+    /// Creates a ledger of `capacity` bytes, of which all connections and the fixed parts of requests
+    /// together need at most `fixed_need` bytes.
+    pub fn with_fixed_need(capacity: usize, fixed_need: usize) -> MemoryLedger {
         MemoryLedger(Rc::new(Account {
             capacity,
+            kept_for_fixed: fixed_need.min(eighths(capacity, FIXED_EIGHTHS)),
             fixed: Cell::default(),
             data: Cell::default(),
             peak: Cell::default(),
@@ -102,12 +135,18 @@
         }
     }
 
-    /// Returns the number of bytes reserved now.
+    /// Returns the largest number of bytes that data may take.
+    pub fn data_limit(&self) -> usize {
+        let limit = self.0.capacity - self.0.kept_for_fixed;
+        limit / (ALLOCATOR_DIVISOR + 1) * ALLOCATOR_DIVISOR
+    }
+
+    /// Returns the memory that is reserved now, in bytes.
     pub fn reserved(&self) -> usize {
         self.0.fixed.get().saturating_add(self.0.data.get())
     }
 
-    /// Returns the largest number of bytes that were ever reserved at once.
+    /// Returns the largest memory that was ever reserved at once, in bytes.
     pub fn peak(&self) -> usize {
         self.0.peak.get()
     }
@@ -121,15 +160,20 @@
     fn permits(&self, purpose: Purpose, held: usize, additional: usize) -> bool {
         let account = &self.0;
         let others = match purpose {
-            Purpose::Fixed => account.data.get().max(account.eighths(DATA_EIGHTHS)),
-            _ => account.fixed.get().max(account.eighths(FIXED_EIGHTHS)),
+            Purpose::Fixed => account
+                .data
+                .get()
+                .max(eighths(account.capacity, DATA_EIGHTHS)),
+            _ => account.fixed.get().max(account.kept_for_fixed),
         };
         let used = account.count(purpose).get();
         let free = account.capacity.saturating_sub(others).saturating_sub(used);
         let limit = match purpose {
             Purpose::Fixed | Purpose::BulkData => free,
-            Purpose::ClientData | Purpose::Backlog => {
-                (free.saturating_add(held) / CLIENT_DATA_DIVISOR).saturating_sub(held)
+            Purpose::ClientData => share_of_client(free, held),
+            Purpose::Backlog => {
+                let kept = (account.capacity - account.kept_for_fixed) / BACKLOG_DIVISOR;
+                share_of_client(free.saturating_sub(kept), held)
             }
         };
         additional <= limit
@@ -141,6 +185,11 @@
         self.0.peak.set(self.0.peak.get().max(self.reserved()));
     }
 
+    fn give_back(&self, purpose: Purpose, surplus: usize) {
+        let count = self.0.count(purpose);
+        count.set(count.get().saturating_sub(surplus));
+    }
+
     fn refuse(&self, purpose: Purpose) {
         if purpose == Purpose::Backlog {
             return;
@@ -170,33 +219,37 @@
     /// Returns whether the reservation now holds at least `bytes`.
     #[must_use]
     pub fn try_grow_to(&mut self, bytes: usize) -> bool {
-        let additional = bytes.saturating_sub(self.bytes);
-        if additional == 0 {
+        if bytes <= self.bytes {
             return true;
         }
-        if !self.ledger.permits(self.purpose, self.bytes, additional) {
+        let held = self.purpose.weigh(self.bytes);
+        let additional = self.purpose.weigh(bytes) - held;
+        if !self.ledger.permits(self.purpose, held, additional) {
             self.ledger.refuse(self.purpose);
             return false;
         }
-        self.ledger.take(self.purpose, additional);
-        self.bytes += additional;
+        self.grow_to(bytes);
         true
     }
 
     /// Grows to `bytes` whether or not as many are free, for what is held already or cannot be
     /// refused any more. Others are refused meanwhile. It never shrinks.
     pub fn grow_to(&mut self, bytes: usize) {
-        let additional = bytes.saturating_sub(self.bytes);
-        self.ledger.take(self.purpose, additional);
-        self.bytes += additional;
+        if bytes > self.bytes {
+            let held = self.purpose.weigh(self.bytes);
+            let additional = self.purpose.weigh(bytes) - held;
+            self.ledger.take(self.purpose, additional);
+            self.bytes = bytes;
+        }
     }
 
     /// Shrinks to `bytes`, and returns the rest to the ledger. Never grows.
     pub fn shrink_to(&mut self, bytes: usize) {
-        let surplus = self.bytes.saturating_sub(bytes);
-        self.bytes -= surplus;
-        let count = self.ledger.0.count(self.purpose);
-        count.set(count.get() - surplus);
+        if bytes < self.bytes {
+            let surplus = self.purpose.weigh(self.bytes) - self.purpose.weigh(bytes);
+            self.ledger.give_back(self.purpose, surplus);
+            self.bytes = bytes;
+        }
     }
 }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -149,7 +149,7 @@
     tracing::info!(listen = %setup.listen, "serving the inference API");
     let service = Inference::new(
         parts.frontend_context(),
-        setup.within_memory(parts.capacity.inference_body_bytes),
+        setup.within_memory(parts.inference_body_bytes()),
         &parts.config.site,
         &parts.config.settings,
         tenants,
--- a/crates/router/src/router/capacity/tests.rs
+++ b/crates/router/src/router/capacity/tests.rs
@@ -1,9 +1,7 @@
 //! Tests of the division of descriptors and memory.
 
 use super::*;
-use crate::frontend::ConnectionLimiter;
-use crate::memory::{MemoryLedger, Purpose};
-use crate::upstream;
+use crate::memory::Purpose;
 
 /// The descriptors with which the tests' routers run.
 const SOCKETS: [usize; 7] = [64, 128, 256, 512, 1_024, 2_048, 4_096];
@@ -41,7 +39,7 @@
     const LEAST_MEMORY_MB: f64 = 32.0;
     const SOCKETS: usize = 1_024;
     let capacity = Capacity::new(&limits(SOCKETS, LEAST_MEMORY_MB));
-    let memory = MemoryLedger::new(capacity.ledger_bytes);
+    let memory = capacity.memory_ledger();
     let bytes = ConnectionLimiter::BYTES_PER_REQUEST + upstream::CONNECTION_BYTES;
     let served: Vec<_> = (0..SOCKETS / 3)
         .map_while(|_| memory.reserve(Purpose::Fixed, bytes))
--- a/crates/router/src/router/parts.rs
+++ b/crates/router/src/router/parts.rs
@@ -72,7 +72,7 @@
             handle,
             phase,
             capacity,
-            memory: MemoryLedger::new(capacity.ledger_bytes),
+            memory: capacity.memory_ledger(),
             tasks,
         };
         (parts, events)
@@ -173,6 +173,13 @@
         });
     }
 
+    /// Returns the maximum number of bytes of all bodies of the inference API.
+    pub(super) fn inference_body_bytes(&self) -> usize {
+        self.capacity
+            .inference_body_bytes
+            .min(self.memory.data_limit())
+    }
+
     /// Starts to log, at intervals, what the router holds and how often it had no room.
     pub(super) fn start_memory_log(&self) {
         let memory = self.memory.clone();
--- a/crates/router/src/upstream/attempt/start.rs
+++ b/crates/router/src/upstream/attempt/start.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use crate::core::{AttemptReport, AttemptSpec, EndReason, WireTrace};
+use crate::exchange::Payload;
 use crate::upstream::calls::collect_body;
 use crate::upstream::connection::PooledConnection;
 use crate::upstream::dial::ConnectError;
@@ -162,7 +163,7 @@
     Ok(connection)
 }
 
-fn encode_request(spec: &AttemptSpec) -> Result<Request<Bytes>, StartError> {
+fn encode_request(spec: &AttemptSpec) -> Result<Request<Payload>, StartError> {
     let time_left = spec.expires_at.saturating_duration_since(Instant::now());
     let request = Request::builder()
         .method(Method::POST)
@@ -181,7 +182,7 @@
 /// waits for the head of the response.
 async fn send_over(
     connection: &mut PooledConnection,
-    request: Request<Bytes>,
+    request: Request<Payload>,
     request_written: &watch::Sender<bool>,
 ) -> Result<Response<Incoming>, StartError> {
     let progress = connection.progress().clone();
--- a/crates/router/src/upstream/calls.rs
+++ b/crates/router/src/upstream/calls.rs
@@ -15,6 +15,7 @@
 use super::connection::PooledConnection;
 use super::{load_report, Shared, BODY_BYTES_LIMIT};
 use crate::core::{Endpoint, SlotReservation};
+use crate::exchange::Payload;
 
 /// Timeout of a slot reservation at a decode endpoint. After 300 ms the endpoint responds that it
 /// knows of no prefill. A slot that it then holds for no request must be released within another
@@ -50,12 +51,12 @@
 }
 
 /// Builds a request without a body; `None` if the target is not valid.
-pub(super) fn empty_request(method: Method, target: &str) -> Option<Request<Bytes>> {
+pub(super) fn empty_request(method: Method, target: &str) -> Option<Request<Payload>> {
     Request::builder()
         .method(method)
         .uri(target)
         .header("host", "worker")
-        .body(Bytes::new())
+        .body(Payload::default())
         .ok()
 }
 
@@ -70,7 +71,7 @@
     async fn call(
         &self,
         mut connection: PooledConnection,
-        request: Request<Bytes>,
+        request: Request<Payload>,
         deadline: Instant,
     ) -> Result<(StatusCode, Bytes), CallError> {
         let exchange = async {
--- a/crates/router/src/upstream/connection.rs
+++ b/crates/router/src/upstream/connection.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use cranetack_routing_policy::EndpointId;
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -25,6 +24,7 @@
 use super::request_body::RequestBody;
 use crate::closing::shut_down_and_discard;
 use crate::core::{EndReason, Endpoint, UsedConnection, WireTrace, Written};
+use crate::exchange::Payload;
 use crate::memory::MemoryReservation;
 use crate::socket::Socket;
 use crate::write_window::WriteWindow;
@@ -117,12 +117,12 @@
     /// Sends a request and waits for the head of its response.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Bytes>,
+        request: Request<Payload>,
     ) -> hyper::Result<Response<Incoming>> {
         self.progress.begin_request(request.body().len());
         self.window.reset();
         let window = self.window.clone();
-        let request = request.map(|data| RequestBody::new(data, window));
+        let request = request.map(|payload| RequestBody::new(payload, window));
         self.sender.send_request(request).await
     }
 
--- a/crates/router/src/upstream/mod.rs
+++ b/crates/router/src/upstream/mod.rs
@@ -29,7 +29,6 @@
 use crate::tasks::TaskSpawner;
 use attempt::{Attempt, AttemptEndGuard};
 use pool::ConnectionPool;
-#[cfg(test)]
 pub(crate) use pool::CONNECTION_BYTES;
 
 /// Maximum number of bytes buffered of a response body. Of an event stream, the first event is
--- a/crates/soak/src/crowd/play.rs
+++ b/crates/soak/src/crowd/play.rs
@@ -134,6 +134,8 @@
         })
         .collect();
     sleep(QUIET_TIME).await;
+    let quiet_memory_bytes = router.process().and_then(peak_memory_bytes).unwrap_or(0);
+    router.report.borrow_mut().quiet_memory_bytes = quiet_memory_bytes;
     let crowd = Crowd::start(router.crowd_members());
     router.send_signals().await;
     for usual in usual {
--- a/crates/soak/src/crowd/report.rs
+++ b/crates/soak/src/crowd/report.rs
@@ -42,6 +42,8 @@
     pub latencies: Vec<Duration>,
     /// The largest memory that a process of the router has held, in bytes.
     pub peak_memory_bytes: u64,
+    /// The memory of the router before the crowd came, in bytes.
+    pub quiet_memory_bytes: u64,
     /// The memory of the router at the end, in bytes.
     pub final_memory_bytes: u64,
     /// The largest number of file descriptors that was seen.
@@ -53,6 +55,12 @@
 }
 
 impl PlayReport {
+    /// Returns by how much the crowd made the memory of the router grow at most, in bytes.
+    pub fn memory_growth_bytes(&self) -> u64 {
+        self.peak_memory_bytes
+            .saturating_sub(self.quiet_memory_bytes)
+    }
+
     /// Returns the latency below which this share of the responses came.
     pub fn latency(&self, share: f64) -> Duration {
         let mut latencies = self.latencies.clone();
