Soak: use connections until the kill, kill at the earliest, series of signals, crowds

The soak's clients stopped to use a router at once when it left the rotation, SIGKILL came 3.7 s after SIGTERM whatever the deadlines, signals came alone, and all routers had 192 MB and 256 descriptors.

Clients now go on using their open connections of a router that shuts down. A new fault sends SIGHUP three times and then SIGTERM. One run of three has crowds: 40 misbehaving clients of all kinds at a router, whose requests count for slow start only. Memory and descriptors go through 32 to 192 MB and 256 to 1,024, and a router that has held more than its memory is a violation.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -80,11 +80,16 @@
         }
     }
 
+    /// Returns a router that takes new connections, or one to which the client has an open
+    /// connection: clients use these for as long as they are open.
     fn pick_router(&self) -> Option<usize> {
+        let is_usable = |router: &&Rc<RouterProcess>| {
+            router.in_rotation.get() || self.pool.contains_key(&router.index)
+        };
         let candidates: Vec<usize> = self
             .routers
             .iter()
-            .filter(|router| router.in_rotation.get())
+            .filter(is_usable)
             .map(|router| router.index)
             .collect();
         let pick = self.state.draw(0, candidates.len().max(1) as u64);
@@ -98,7 +103,7 @@
         } else {
             Idempotency::Idempotent
         };
-        let longest_ms = class_deadline(idempotency).as_millis() as u64;
+        let longest_ms = class_deadline(state.deadlines.get(), idempotency).as_millis() as u64;
         let deadline_ms = state.draw(longest_ms / 2, longest_ms + 1);
         let id = format!("q{:08x}", state.next_number());
         let tokens = state.draw(200, 6_000);
--- a/crates/soak/src/crowd/clients.rs
+++ b/crates/soak/src/crowd/clients.rs
@@ -15,6 +15,8 @@
 
 use super::servers::ResponsePlan;
 
+/// First letter of the ids of a crowd's requests. No other clients have such ids.
+pub const CROWD_ID_PREFIX: &str = "c";
 /// Pause of a client between two connections.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(10);
 /// Longest time for which a client waits for what the router does with its connection.
@@ -240,7 +242,7 @@
     fn head(&self, fields: &str) -> String {
         let number = self.numbers.next();
         format!(
-            "POST /v1/chat/completions HTTP/1.1\r\nhost: app\r\nx-request-id: c{number:08x}\r\n\
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: app\r\nx-request-id: {CROWD_ID_PREFIX}{number:08x}\r\n\
              x-class: chat\r\nx-deadline-ms: {DEADLINE_MS}\r\nx-extras: prompt_len=100,max_out=20\r\n\
              {fields}"
         )
@@ -358,7 +360,7 @@
     fn unknown_class(&self) -> String {
         let number = self.numbers.next();
         format!(
-            "POST /v1/chat/completions HTTP/1.1\r\nhost: app\r\nx-request-id: c{number:08x}\r\n\
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: app\r\nx-request-id: {CROWD_ID_PREFIX}{number:08x}\r\n\
              x-class: class-{number}\r\nx-deadline-ms: 100\r\ncontent-length: 2\r\n\r\n{{}}"
         )
     }
@@ -370,7 +372,7 @@
         );
         let length = body.len();
         format!(
-            "POST /v1/chat/completions HTTP/1.1\r\nhost: app\r\nx-request-id: c{number:08x}\r\n\
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: app\r\nx-request-id: {CROWD_ID_PREFIX}{number:08x}\r\n\
              x-class: chat\r\nx-key: session-{number}\r\nx-deadline-ms: 1\r\n\
              x-extras: prefix=p{number},prompt_len=9000,prefix_len=8000,max_out=20\r\n\
              content-length: {length}\r\n\r\n{body}"
@@ -386,7 +388,7 @@
         };
         let deadline_ms = 20 + number % 50;
         format!(
-            "POST /v1/chat/completions HTTP/1.1\r\nhost: app\r\nx-request-id: c{number:08x}\r\n\
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: app\r\nx-request-id: {CROWD_ID_PREFIX}{number:08x}\r\n\
              x-class: {class}\r\nx-deadline-ms: {deadline_ms}\r\n\
              x-extras: prompt_len=100,max_out=20\r\ncontent-length: 2\r\n\r\n{{}}"
         )
@@ -439,7 +441,7 @@
         let body = format!("{{\"model\":\"m\",\"input\":[{texts}]}}");
         let number = self.numbers.next();
         let head = format!(
-            "POST /v1/embeddings HTTP/1.1\r\nhost: app\r\nx-request-id: b{number:08x}\r\n\
+            "POST /v1/embeddings HTTP/1.1\r\nhost: app\r\nx-request-id: {CROWD_ID_PREFIX}{number:08x}\r\n\
              content-length: {}\r\n\r\n",
             body.len()
         );
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -26,6 +26,8 @@
     pub proxies: Vec<Vec<Rc<FaultProxy>>>,
     /// Discovery servers, by the index of the router.
     pub discovery_servers: Vec<Rc<DiscoveryServer>>,
+    /// Whether the faults include crowds of misbehaving clients.
+    pub has_crowds: bool,
     /// Routers under test.
     pub routers: Vec<Rc<RouterProcess>>,
 }
@@ -38,6 +40,7 @@
             options.seed,
             options.injected_violation,
         );
+        state.deadlines.set(options.deadlines);
         let mut roles = vec![Role::Prefill; options.prefill_servers];
         roles.extend(vec![Role::Decode; options.decode_servers]);
         let mut environment = TestEnvironment {
@@ -45,6 +48,7 @@
             servers: Vec::new(),
             proxies: Vec::new(),
             discovery_servers: Vec::new(),
+            has_crowds: options.has_crowds,
             routers: Vec::new(),
             state,
         };
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -5,16 +5,22 @@
 
 use tokio::time::sleep;
 
+use crate::crowd::clients::{Crowd, ALL_KINDS};
 use crate::discovery_server::DiscoveryMode;
 use crate::endpoint_list::EndpointState;
 use crate::environment::TestEnvironment;
 use crate::misbehaving_clients::{keep_idle_connections, send_malformed_request};
 use crate::oracle::Role;
-use crate::router_process::Shutdown;
+use crate::router_process::{RouterProcess, Shutdown};
 use crate::run_state::RunState;
 
 /// Number of connections that idle clients keep open.
 const IDLE_CONNECTIONS: usize = 150;
+/// Number of misbehaving clients of a crowd. With the other clients, they hold less than a third of
+/// the descriptors.
+const CROWD_CLIENTS: usize = 40;
+/// Number of reloads in a series of signals.
+const RELOADS: u32 = 3;
 /// Percentage of the attempts at a failing server that end with an error.
 const ERROR_PERCENT: u64 = 30;
 
@@ -35,12 +41,14 @@
     ResetDiscovery,
     IdleClients,
     MalformedRequest,
+    SignalSeries,
+    Crowd,
     ServerErrors,
 }
 
 impl FaultKind {
     fn draw(state: &RunState) -> FaultKind {
-        match state.draw(0, 14) {
+        match state.draw(0, 16) {
             0 | 1 => FaultKind::RestartRouter,
             2 => FaultKind::KillRouter,
             3 => FaultKind::SwitchDiscoveryAddress,
@@ -53,6 +61,8 @@
             10 => FaultKind::UnresponsiveDiscovery,
             11 => FaultKind::OverloadedDiscovery,
             12 => FaultKind::ResetDiscovery,
+            13 => FaultKind::SignalSeries,
+            14 => FaultKind::Crowd,
             _ if state.chance(30) => FaultKind::IdleClients,
             _ if state.chance(50) => FaultKind::MalformedRequest,
             _ => FaultKind::ServerErrors,
@@ -114,6 +124,11 @@
         }
         FaultKind::IdleClients => keep_idle_connections(router, IDLE_CONNECTIONS, time).await,
         FaultKind::MalformedRequest => send_malformed_request(state, router).await,
+        FaultKind::SignalSeries => {
+            router.reload_repeatedly(RELOADS, time / 20).await;
+            router.restart(state, Shutdown::Graceful, time / 4).await;
+        }
+        FaultKind::Crowd => let_crowd_in(&environment, router, time * 2).await,
         FaultKind::ServerErrors => {
             server.error_percent.set(ERROR_PERCENT);
             sleep(time).await;
@@ -122,6 +137,18 @@
     }
 }
 
+/// Lets a crowd of misbehaving clients in at a router for a duration, if the run has crowds.
+async fn let_crowd_in(environment: &TestEnvironment, router: &RouterProcess, duration: Duration) {
+    if !environment.has_crowds {
+        return;
+    }
+    let members = (0..CROWD_CLIENTS)
+        .map(|index| (ALL_KINDS[index % ALL_KINDS.len()], router.address))
+        .collect();
+    let _crowd = Crowd::start(members);
+    sleep(duration).await;
+}
+
 /// Makes a fake server hang for a duration, in 40 % of cases together with a third of all servers.
 async fn hang_servers(environment: &TestEnvironment, server: usize, duration: Duration) {
     let servers = &environment.servers;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -8,7 +8,7 @@
 use clap::Parser;
 use cranetack_soak::error::SoakError;
 use cranetack_soak::injected_violation::InjectedViolation;
-use cranetack_soak::options::{RunOptions, RunReport};
+use cranetack_soak::options::{ClassDeadlines, RouterLimits, RunOptions, RunReport};
 use cranetack_soak::run::run;
 use tokio::task::LocalSet;
 
@@ -21,6 +21,21 @@
 /// Maximum number of violations that are printed for a run.
 const PRINTED_VIOLATIONS: usize = 12;
 
+/// One run of this many has crowds of misbehaving clients.
+const CROWD_INTERVAL: u64 = 3;
+/// Resources of routers, which runs take in turn.
+const LIMITS: [RouterLimits; 5] = [
+    limits(192, 256),
+    limits(32, 1_024),
+    limits(64, 512),
+    limits(32, 256),
+    limits(192, 1_024),
+];
+
+const fn limits(memory_mb: u64, sockets: usize) -> RouterLimits {
+    RouterLimits { memory_mb, sockets }
+}
+
 /// Runs real routers under overlapping faults and checks the rules of the protocol.
 #[derive(Parser)]
 #[command(name = "soak", version)]
@@ -78,11 +93,23 @@
             prefill_servers: PREFILL_SERVERS,
             decode_servers: DECODE_SERVERS,
             fault_injection_duration: Duration::from_secs(self.seconds),
+            deadlines: deadlines(seed),
+            limits: LIMITS[seed as usize % LIMITS.len()],
+            has_crowds: seed.is_multiple_of(CROWD_INTERVAL),
             injected_violation: self.injected_violation,
         })
     }
 }
 
+/// Returns the deadlines of the run with this seed: every second run has short ones.
+fn deadlines(seed: u64) -> ClassDeadlines {
+    if seed.is_multiple_of(2) {
+        ClassDeadlines::SHORT
+    } else {
+        ClassDeadlines::USUAL
+    }
+}
+
 fn absolute(path: &Path) -> Result<PathBuf, SoakError> {
     path.canonicalize().map_err(|source| SoakError::File {
         path: path.to_owned(),
--- a/crates/soak/src/oracle/mod.rs
+++ b/crates/soak/src/oracle/mod.rs
@@ -14,6 +14,7 @@
 mod slow_start;
 mod violation;
 
+use crate::crowd::clients::CROWD_ID_PREFIX;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -131,6 +132,9 @@
             .slow_starts
             .count_attempt(&self.limits, attempt.endpoint, at);
         self.report(over_budget);
+        if attempt.request_id.starts_with(CROWD_ID_PREFIX) {
+            return;
+        }
         let Some(request) = self.requests.get_mut(attempt.request_id) else {
             self.violations
                 .push(duplicate_execution::unknown_request(attempt, at));
--- a/crates/soak/src/router_process.rs
+++ b/crates/soak/src/router_process.rs
@@ -13,17 +13,16 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 use crate::discovery_server::DiscoveryServer;
 use crate::error::SoakError;
 use crate::options::RunOptions;
 use crate::oracle::Rule;
+use crate::process_usage::peak_memory_bytes;
 use crate::router_settings::router_settings;
 use crate::run_state::RunState;
 
-/// Maximum time until a router has ended after SIGTERM: its maximum time to drain plus a tolerance.
-const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(3_000 + 700);
 /// Maximum time from the start of a router until it is ready.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(10);
 /// Interval of the readiness checks of a starting router.
@@ -37,6 +36,8 @@
 /// Possible offsets of the wall clock of a router process, in seconds.
 const CLOCK_STEPS_S: [i64; 5] = [0, 3_600, -3_600, 5, -5];
 
+const BYTES_PER_MEGABYTE: u64 = 1_000_000;
+
 /// How a process is stopped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Shutdown {
@@ -139,11 +140,15 @@
             "listen": self.address.to_string(),
             "discovery": discovery.to_string(),
             "seed": format!("{seed:x}"),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "limits": {
+                "cores": 1.0,
+                "memory_mb": self.options.limits.memory_mb,
+                "sockets": self.options.limits.sockets,
+            },
             "peer_listen": self.peers[self.index].to_string(),
             "peers": peers,
             "known": self.discovery.snapshot(),
-            "settings": router_settings(self.index, self.peers.len()),
+            "settings": router_settings(self.index, self.peers.len(), self.options.deadlines),
         });
         // The file is written in place, as an operator's tool may do, so that the router can read a
         // partly written file.
@@ -222,6 +227,14 @@
         self.signal(Signal::HangUp);
     }
 
+    /// Sends a series of signals: the configuration is reloaded several times in quick succession.
+    pub async fn reload_repeatedly(&self, count: u32, interval: Duration) {
+        for _ in 0..count {
+            self.reload_with_other_discovery_address();
+            sleep(interval).await;
+        }
+    }
+
     /// Pauses the process for a duration.
     pub async fn pause(&self, duration: Duration) {
         self.signal(Signal::Stop);
@@ -260,18 +273,30 @@
             );
             state.report_violation(Rule::Crash, detail);
         }
+        self.check_memory(state, &id);
         match shutdown {
             Shutdown::Graceful => self.stop_gracefully(state, child, &id).await,
             Shutdown::Kill => self.kill(state, child).await,
         }
     }
 
+    /// Reports a violation if the process has held more memory than it may.
+    fn check_memory(&self, state: &RunState, id: &str) {
+        let limit = self.options.limits.memory_mb * BYTES_PER_MEGABYTE;
+        let peak = id.parse().ok().and_then(peak_memory_bytes).unwrap_or(0);
+        if peak > limit {
+            let detail = format!("router {} held {peak} bytes of {limit}", self.index);
+            state.report_violation(Rule::Crash, detail);
+        }
+    }
+
     async fn stop_gracefully(&self, state: &RunState, mut child: Child, id: &str) {
         Signal::Terminate.send(id);
+        let kill_at = Instant::now() + self.options.deadlines.kill_delay();
         // The load balancer in front of the routers notices a shutdown with a delay.
         sleep(state.draw_millis(100, 400)).await;
         self.in_rotation.set(false);
-        match timeout(SHUTDOWN_TIMEOUT, child.wait()).await {
+        match timeout_at(kill_at, child.wait()).await {
             Ok(Ok(status)) if status.success() => {}
             Ok(status) => {
                 let detail = format!("router {} ended with {status:?} after SIGTERM", self.index);
@@ -279,8 +304,9 @@
             }
             Err(_) => {
                 let detail = format!(
-                    "router {} did not end within {SHUTDOWN_TIMEOUT:?} after SIGTERM",
-                    self.index
+                    "router {} did not end within {:?} after SIGTERM",
+                    self.index,
+                    self.options.deadlines.kill_delay()
                 );
                 state.report_violation(Rule::Crash, detail);
                 let _ = child.kill().await;
--- a/crates/soak/src/router_settings.rs
+++ b/crates/soak/src/router_settings.rs
@@ -4,12 +4,9 @@
 
 use serde_json::{json, Value};
 
+use crate::options::ClassDeadlines;
 use crate::oracle::{Idempotency, Limits, Role};
 
-/// Maximum deadline of the requests of class `chat`.
-const CHAT_DEADLINE: Duration = Duration::from_millis(2_500);
-/// Maximum deadline of the requests of class `order`. No class has a longer one.
-pub const ORDER_DEADLINE: Duration = Duration::from_millis(4_000);
 /// Duration within which KV state and decode slots must be used or released.
 const KV_LEASE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Duration after the notification of a drain in which new attempts may still start.
@@ -38,10 +35,10 @@
 }
 
 /// Returns the maximum deadline of the request class with this idempotency.
-pub fn class_deadline(idempotency: Idempotency) -> Duration {
+pub fn class_deadline(deadlines: ClassDeadlines, idempotency: Idempotency) -> Duration {
     match idempotency {
-        Idempotency::Idempotent => CHAT_DEADLINE,
-        Idempotency::NonIdempotent => ORDER_DEADLINE,
+        Idempotency::Idempotent => deadlines.idempotent,
+        Idempotency::NonIdempotent => deadlines.non_idempotent,
     }
 }
 
@@ -57,7 +54,7 @@
     duration.as_micros() as u64
 }
 
-fn class(idempotency: Idempotency) -> Value {
+fn class(deadlines: ClassDeadlines, idempotency: Idempotency) -> Value {
     let idempotency_name = match idempotency {
         Idempotency::Idempotent => "safe",
         Idempotency::NonIdempotent => "unsafe",
@@ -66,14 +63,18 @@
         "name": class_name(idempotency),
         "idempotency": idempotency_name,
         "goal_time_us": 1_000_000,
-        "deadline_us": micros(class_deadline(idempotency)),
+        "deadline_us": micros(class_deadline(deadlines, idempotency)),
         "points": 1.0,
         "stream": true,
     })
 }
 
 /// Returns the settings of one router, in the format of its configuration file.
-pub fn router_settings(router_index: usize, router_count: usize) -> Value {
+pub fn router_settings(
+    router_index: usize,
+    router_count: usize,
+    deadlines: ClassDeadlines,
+) -> Value {
     json!({
         "az": "here",
         "period_us": 4_000,
@@ -81,7 +82,10 @@
         "kinds": [endpoint_kind(Role::Prefill), endpoint_kind(Role::Decode)],
         "balancers": router_count,
         "me": router_index,
-        "classes": [class(Idempotency::Idempotent), class(Idempotency::NonIdempotent)],
+        "classes": [
+            class(deadlines, Idempotency::Idempotent),
+            class(deadlines, Idempotency::NonIdempotent),
+        ],
         "allowed": {
             "cancelling": true,
             "probing": true,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -14,7 +14,6 @@
 use crate::options::{RunOptions, RunReport};
 use crate::oracle::{Outcome, Rule};
 use crate::router_process::{Shutdown, Signal};
-use crate::router_settings::ORDER_DEADLINE;
 
 /// Minimum time between the starts of two faults, in milliseconds.
 const MIN_FAULT_INTERVAL_MS: u64 = 250;
@@ -52,7 +51,8 @@
     let faults = inject_faults(&environment, options.fault_injection_duration).await;
     sleep(RECOVERY_DURATION).await;
     environment.state.finished.set(true);
-    sleep(ORDER_DEADLINE + LAST_RESPONSE_MARGIN).await;
+    let longest_deadline = environment.state.deadlines.get().longest();
+    sleep(longest_deadline + LAST_RESPONSE_MARGIN).await;
     stop_routers(&environment).await;
     Ok(report(&environment, faults))
 }
--- a/crates/soak/src/run_state.rs
+++ b/crates/soak/src/run_state.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::injected_violation::InjectedViolation;
+use crate::options::ClassDeadlines;
 use crate::oracle::{LeasedResource, Oracle, Rule};
 
 /// Percentage of the opportunities for an injected violation that are used.
@@ -48,6 +49,8 @@
     /// Numbers of the connections on which a fake server has sent a complete response that has not
     /// been forwarded to the router yet.
     pub undelivered_responses: RefCell<HashSet<u64>>,
+    /// Deadlines of the request classes.
+    pub deadlines: Cell<ClassDeadlines>,
     /// Whether the clients must stop sending requests.
     pub finished: Cell<bool>,
     /// The violation that the run causes on purpose, if any.
@@ -73,6 +76,7 @@
             connections: RefCell::default(),
             attempts: RefCell::default(),
             undelivered_responses: RefCell::default(),
+            deadlines: Cell::new(ClassDeadlines::USUAL),
             finished: Cell::default(),
             injected_violation,
             started_at: Instant::now(),
--- a/crates/soak/tests/environment.rs
+++ b/crates/soak/tests/environment.rs
@@ -11,7 +11,7 @@
 use cranetack_soak::fault_proxy::FaultProxy;
 use cranetack_soak::injected_violation::InjectedViolation;
 use cranetack_soak::model_server::ModelServer;
-use cranetack_soak::options::RunOptions;
+use cranetack_soak::options::{ClassDeadlines, RouterLimits, RunOptions};
 use cranetack_soak::oracle::{Idempotency, Oracle, Outcome, Role, Rule};
 use cranetack_soak::router_process::RouterProcess;
 use cranetack_soak::router_settings::LIMITS;
@@ -187,6 +187,12 @@
             prefill_servers: 0,
             decode_servers: 0,
             fault_injection_duration: Duration::ZERO,
+            deadlines: ClassDeadlines::USUAL,
+            limits: RouterLimits {
+                memory_mb: 192,
+                sockets: 256,
+            },
+            has_crowds: false,
             injected_violation: None,
         };
         let process = RouterProcess::new(0, address, discovery, vec![], Rc::new(options));
