Memory of crowds: smaller parts of streams, more room for bodies, less for backlog

Data has three eighths now, and one client a quarter of what is free; what waits for its turn has a quarter of it.

A chunk of a stream is passed on in parts of 4 KiB, so that a slow client holds one of them and not two chunks of 8 KiB. The future of a request no longer keeps the part that reads its body.

--- a/crates/router/src/frontend/body.rs
+++ b/crates/router/src/frontend/body.rs
@@ -180,7 +180,9 @@
                     coding,
                     declared_length,
                 };
-                let reading = timeout_at(self.deadline, read(buffer, &mut body, head));
+                // Boxed, so that the request is small once its body has been read.
+                let reading = Box::pin(read(buffer, &mut body, head));
+                let reading = timeout_at(self.deadline, reading);
                 match shutdown::receive_in_accept_window(self.phase, reading).await {
                     Some(read) => read.unwrap_or(Err(BodyError::TimedOut)),
                     None => {
--- a/crates/router/src/frontend/connection_state.rs
+++ b/crates/router/src/frontend/connection_state.rs
@@ -29,7 +29,7 @@
 /// limit, memory would grow with the number of clients that send one request and stay connected.
 pub(super) const READ_BUFFER_LIMIT: usize = 16 * 1024;
 /// Memory of a connection, in bytes: the first buffers of the HTTP library, and the connection's task.
-pub(super) const CONNECTION_BYTES: usize = 20 * 1024;
+pub(super) const CONNECTION_BYTES: usize = 19 * 1024;
 /// Memory by which the library's read buffer grows once a read has filled it, in bytes.
 const READ_BUFFER_GROWTH_BYTES: usize = 8 * 1024;
 /// Minimum idle time before a connection may be evicted, because its request may be in transit.
--- a/crates/router/src/memory.rs
+++ b/crates/router/src/memory.rs
@@ -11,17 +11,17 @@
 const DATA_EIGHTHS: usize = 1;
 /// Eighths of the capacity that are kept at most for connections and the fixed part of requests: data
 /// cannot take them.
-const FIXED_EIGHTHS: usize = 6;
-/// Data counts with as much more as its size divided by this: its buffers have many sizes and come and
+const FIXED_EIGHTHS: usize = 5;
+/// Data counts with its size divided by this in addition: its buffers have many sizes and come and
 /// go, and the allocator cannot use all of the space between them.
-const ALLOCATOR_DIVISOR: usize = 4;
+const ALLOCATOR_DIVISOR: usize = 2;
 /// One client's data may take the memory that is free for data divided by this. While large
 /// requests hold most of the memory, there is room for small ones.
-const CLIENT_DATA_DIVISOR: usize = 8;
+const CLIENT_DATA_DIVISOR: usize = 4;
 
-/// The memory that data may take at most, divided by this, is kept for the bodies of requests that are
-/// served: what waits for its turn cannot take it.
-const BACKLOG_DIVISOR: usize = 2;
+/// The memory that data may take at most, divided by this, may hold what waits for its turn. The rest
+/// is kept for the bodies of requests that are served.
+const BACKLOG_DIVISOR: usize = 4;
 
 /// What memory is reserved for. It decides how much of the free memory may be taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -138,7 +138,7 @@
     /// Returns the largest number of bytes that data may take.
     pub fn data_limit(&self) -> usize {
         let limit = self.0.capacity - self.0.kept_for_fixed;
-        limit / (ALLOCATOR_DIVISOR + 1) * ALLOCATOR_DIVISOR
+        limit - limit.div_ceil(ALLOCATOR_DIVISOR + 1)
     }
 
     /// Returns the memory that is reserved now, in bytes.
@@ -172,7 +172,8 @@
             Purpose::Fixed | Purpose::BulkData => free,
             Purpose::ClientData => share_of_client(free, held),
             Purpose::Backlog => {
-                let kept = (account.capacity - account.kept_for_fixed) / BACKLOG_DIVISOR;
+                let data = account.capacity - account.kept_for_fixed;
+                let kept = data - data / BACKLOG_DIVISOR;
                 share_of_client(free.saturating_sub(kept), held)
             }
         };
--- a/crates/router/src/router/capacity.rs
+++ b/crates/router/src/router/capacity.rs
@@ -12,7 +12,7 @@
 const PROGRAM_BYTES: usize = 8_000_000;
 /// Part of the other memory that is not given out: what the allocator keeps between connections, and
 /// what is too small to be reserved, such as lines of the log.
-const UNRESERVED_DIVISOR: usize = 6;
+const UNRESERVED_DIVISOR: usize = 5;
 /// Minimum memory that is given out, in bytes.
 const MIN_LEDGER_BYTES: usize = 4 * 1024 * 1024;
 /// The bodies of the inference API may take the memory divided by this.
--- a/crates/router/src/upstream/attempt/relay.rs
+++ b/crates/router/src/upstream/attempt/relay.rs
@@ -11,6 +11,7 @@
 use crate::exchange::BodySender;
 use crate::upstream::progress::{wait_silent, WireProgress};
 use crate::upstream::stream_tail::StreamTail;
+use crate::write_window::MAX_PART_BYTES;
 
 /// Maximum time that a client may leave data unread before the router cancels its stream.
 const CLIENT_READ_TIMEOUT: Duration = Duration::from_secs(30);
@@ -32,7 +33,7 @@
     loop {
         if let Some(chunk) = chunk.take() {
             tail.push(&chunk);
-            send_to_client(&sender, chunk).await?;
+            send_in_parts(&sender, chunk).await?;
         }
         tokio::select! {
             frame = body.frame() => match frame {
@@ -48,6 +49,15 @@
     Ok(tail)
 }
 
+/// Sends a chunk to the frontend in parts, so that little of it waits for a slow client twice.
+async fn send_in_parts(sender: &BodySender, mut chunk: Bytes) -> Result<(), Outcome> {
+    while !chunk.is_empty() {
+        let part = chunk.split_to(MAX_PART_BYTES.min(chunk.len()));
+        send_to_client(sender, part).await?;
+    }
+    Ok(())
+}
+
 /// Sends a chunk to the frontend. The attempt is cancelled if the client has disconnected or reads
 /// nothing for [`CLIENT_READ_TIMEOUT`].
 async fn send_to_client(sender: &BodySender, chunk: Bytes) -> Result<(), Outcome> {
--- a/crates/router/src/upstream/pool.rs
+++ b/crates/router/src/upstream/pool.rs
@@ -23,7 +23,7 @@
 
 /// Memory of a connection, in bytes: the buffers of the HTTP library, and the tasks of the connection
 /// and its attempt.
-pub(crate) const CONNECTION_BYTES: usize = 26 * 1024;
+pub(crate) const CONNECTION_BYTES: usize = 25 * 1024;
 /// Delay before memory for a connection is asked for again.
 const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(5);
 
--- a/crates/soak/src/crowd/servers.rs
+++ b/crates/soak/src/crowd/servers.rs
@@ -93,7 +93,7 @@
 pub struct ServerPace {
     /// Bytes of requests that are read in a second; as many as arrive if it is 0.
     pub read_bytes_per_second: usize,
-    /// Pause within each event, after its first half.
+    /// Pause within each event but the first, after its first half.
     pub pause_within_event: Duration,
 }
 
@@ -243,11 +243,11 @@
         stream.write_all(HEAD.as_bytes()).await?;
         let event = event_chunk(plan.event_bytes);
         let (first_half, second_half) = event.split_at(event.len() / 2);
-        for _ in 0..plan.events {
+        for number in 0..plan.events {
             if plan.gap_ms > 0 {
                 sleep(Duration::from_millis(plan.gap_ms)).await;
             }
-            if self.pace.pause_within_event.is_zero() {
+            if number == 0 || self.pace.pause_within_event.is_zero() {
                 stream.write_all(&event).await?;
                 continue;
             }
