--- a/crates/routing-policy/src/lane_selection/prefix_cache.rs
+++ b/crates/routing-policy/src/lane_selection/prefix_cache.rs
@@ -15,6 +15,10 @@
 /// Maximum number of prompts that are remembered for an endpoint, and of shared prefixes that are
 /// counted. A table that is full is cleared.
 pub(crate) const MAX_ENTRIES: usize = 2_000;
+/// Maximum number of prompts that are remembered for all endpoints together.
+const MAX_TOTAL_ENTRIES: usize = 40_000;
+/// Number of prompts that are remembered for an endpoint however many endpoints there are.
+const MIN_ENTRIES: usize = 20;
 /// Share of a prompt that the affinity target of its session is assumed to have cached, because
 /// half of the prompts are later turns of a session.
 const CACHED_AT_AFFINITY_TARGET: f64 = 0.9;
@@ -41,8 +45,8 @@
 impl PrefixCache {
     /// Records a prompt that the endpoint has processed and therefore cached: the shared prefix for
     /// other sessions, and the whole prompt for the next turn of its session.
-    fn record(&mut self, spec: &RequestSpec, now: Micros) {
-        if self.0.len() >= MAX_ENTRIES {
+    fn record(&mut self, spec: &RequestSpec, now: Micros, max_entries: usize) {
+        if self.0.len() >= max_entries {
             self.0.clear();
         }
         if let Some(prefix) = spec.shared_prefix {
@@ -81,6 +85,11 @@
     }
 }
 
+/// Returns the maximum number of prompts that are remembered for each of so many endpoints.
+fn max_entries(endpoint_count: usize) -> usize {
+    (MAX_TOTAL_ENTRIES / endpoint_count.max(1)).clamp(MIN_ENTRIES, MAX_ENTRIES)
+}
+
 impl Policy {
     pub(crate) fn record_cached_prompt(
         &mut self,
@@ -97,8 +106,9 @@
             return;
         }
         let now = self.now;
+        let max_entries = max_entries(self.endpoints.entries.len());
         if let Some(endpoint) = self.endpoints.get_mut(attempt.endpoint) {
-            endpoint.prefix_cache.record(spec, now);
+            endpoint.prefix_cache.record(spec, now, max_entries);
         }
     }
 
@@ -120,3 +130,6 @@
         known.max(assumed)
     }
 }
+
+#[cfg(test)]
+mod tests;
