--- a/crates/router/tests/crowd.rs
+++ b/crates/router/tests/crowd.rs
@@ -4,7 +4,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use cranetack_soak::crowd::clients::ClientKind;
+use cranetack_soak::crowd::client_kind::ClientKind;
 use cranetack_soak::crowd::play::{play, Frontends, PlayOptions, PlaySignal};
 use cranetack_soak::crowd::report::{PlayReport, UsualOutcome};
 use cranetack_soak::crowd::servers::{ResponsePlan, ServerPace};
--- a/crates/soak/src/bin/crowd.rs
+++ b/crates/soak/src/bin/crowd.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use clap::Parser;
-use cranetack_soak::crowd::clients::{ClientKind, ALL_KINDS};
+use cranetack_soak::crowd::client_kind::{ClientKind, ALL_KINDS};
 use cranetack_soak::crowd::play::{play, Frontends, PlayOptions, PlaySignal};
 use cranetack_soak::crowd::servers::{ResponsePlan, ServerPace};
 use cranetack_soak::error::SoakError;
--- a/crates/soak/src/crowd/clients.rs
+++ b/crates/soak/src/crowd/clients.rs
@@ -13,6 +13,7 @@
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout};
 
+use super::client_kind::ClientKind;
 use super::servers::ResponsePlan;
 
 /// First letter of the ids of a crowd's requests. No other clients have such ids.
@@ -43,88 +44,6 @@
 /// The deadline of all requests, in milliseconds.
 const DEADLINE_MS: u64 = 3_000;
 
-/// A kind of misbehaving client.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
-pub enum ClientKind {
-    /// Sends eight whole requests of 200 kB at once on one connection.
-    WholeRequests,
-    /// Reads a long response of small events slowly.
-    SlowReader,
-    /// Reads a long response of large events slowly.
-    SlowReaderOfLargeEvents,
-    /// Reads many rejections slowly: it sends small invalid requests and reads nothing.
-    SlowReaderOfErrors,
-    /// Sends a body in chunks of one byte with extensions, and does not finish it.
-    TinyChunks,
-    /// Sends a large body slowly.
-    SlowWriter,
-    /// Stops after most of a large body.
-    StopsHalfway,
-    /// Sends a head of very many short fields.
-    ManyFields,
-    /// Sends a head of as many short fields as the router accepts, and stops before the end.
-    UnfinishedHead,
-    /// Sends small invalid requests without end on one connection.
-    SmallRequests,
-    /// Sends requests of unknown classes without end on one connection.
-    UnknownNames,
-    /// Sends valid requests with new names and a short deadline without end on one connection.
-    NewNames,
-    /// Sends valid requests of both classes with deadlines that cannot be met, without end on one
-    /// connection.
-    ShortDeadlines,
-    /// Sends a request and much behind it, and disconnects.
-    Leaver,
-    /// Sends a large body of many short texts to the inference API, and reads nothing.
-    LargeBatch,
-    /// Asks for a whole response, and does not read it.
-    UnreadWholeResponse,
-}
-
-impl ClientKind {
-    fn reads_slowly(self) -> bool {
-        matches!(
-            self,
-            ClientKind::SlowReader
-                | ClientKind::SlowReaderOfLargeEvents
-                | ClientKind::SlowReaderOfErrors
-                | ClientKind::UnreadWholeResponse
-                | ClientKind::LargeBatch
-        )
-    }
-
-    /// Returns how the requests are made that a client of this kind sends without end.
-    fn endless_request(self) -> Option<fn(&MisbehavingClient) -> String> {
-        match self {
-            ClientKind::SmallRequests => Some(MisbehavingClient::small_request),
-            ClientKind::UnknownNames => Some(MisbehavingClient::unknown_class),
-            ClientKind::NewNames => Some(MisbehavingClient::new_names),
-            ClientKind::ShortDeadlines => Some(MisbehavingClient::short_deadline),
-            _ => None,
-        }
-    }
-}
-
-/// All kinds, in the order in which a mixed crowd takes them.
-pub const ALL_KINDS: [ClientKind; 16] = [
-    ClientKind::WholeRequests,
-    ClientKind::SlowReader,
-    ClientKind::SlowReaderOfLargeEvents,
-    ClientKind::SlowReaderOfErrors,
-    ClientKind::TinyChunks,
-    ClientKind::SlowWriter,
-    ClientKind::StopsHalfway,
-    ClientKind::ManyFields,
-    ClientKind::UnfinishedHead,
-    ClientKind::SmallRequests,
-    ClientKind::UnknownNames,
-    ClientKind::NewNames,
-    ClientKind::ShortDeadlines,
-    ClientKind::Leaver,
-    ClientKind::LargeBatch,
-    ClientKind::UnreadWholeResponse,
-];
-
 /// Numbers of the requests of all clients, so that ids and names are always new.
 #[derive(Clone, Default)]
 pub struct RequestNumbers(Rc<Cell<u64>>);
@@ -204,6 +123,17 @@
         }
     }
 
+    /// Returns how the requests are made that this client sends without end, if it does.
+    fn endless_request(&self) -> Option<fn(&MisbehavingClient) -> String> {
+        match self.kind {
+            ClientKind::SmallRequests => Some(MisbehavingClient::small_request),
+            ClientKind::UnknownNames => Some(MisbehavingClient::unknown_class),
+            ClientKind::NewNames => Some(MisbehavingClient::new_names),
+            ClientKind::ShortDeadlines => Some(MisbehavingClient::short_deadline),
+            _ => None,
+        }
+    }
+
     async fn connect_once(&self) -> std::io::Result<()> {
         let stream = if self.kind.reads_slowly() {
             let socket = TcpSocket::new_v4()?;
@@ -213,7 +143,7 @@
             TcpStream::connect(self.address).await?
         };
         stream.set_nodelay(true)?;
-        if let Some(request) = self.kind.endless_request() {
+        if let Some(request) = self.endless_request() {
             return self.send_without_end(stream, request).await;
         }
         match self.kind {
--- a/crates/soak/src/crowd/play.rs
+++ b/crates/soak/src/crowd/play.rs
@@ -13,7 +13,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-use super::clients::{ClientKind, Crowd, RequestNumbers};
+use super::client_kind::ClientKind;
+use super::clients::{Crowd, RequestNumbers};
 use super::report::PlayReport;
 use super::servers::{PlayServer, ResponsePlan, ServerPace, ServerRole};
 use super::usual_clients::UsualClients;
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -5,7 +5,8 @@
 
 use tokio::time::sleep;
 
-use crate::crowd::clients::{Crowd, ALL_KINDS};
+use crate::crowd::client_kind::ALL_KINDS;
+use crate::crowd::clients::Crowd;
 use crate::discovery_server::DiscoveryMode;
 use crate::endpoint_list::EndpointState;
 use crate::environment::TestEnvironment;
