Close idle connections only for the memory of connections

A reservation that failed closed the longest idle connection of clients and of endpoints, also when it was for the body of a request: beside 320 clients with whole requests that was 11,466 times in 12 s, for memory that idle connections do not hold. Usual clients lost the connections that they keep.

Only a reservation for connections or the fixed part of requests closes one now; the unit test has both cases.

--- a/crates/router/src/memory.rs
+++ b/crates/router/src/memory.rs
@@ -49,7 +49,7 @@
     }
 }
 
-/// Called when a reservation fails, to close what is idle.
+/// Called when a reservation for [`Purpose::Fixed`] fails, to close what is idle.
 pub trait Reclaim {
     /// Closes an idle connection, if there is one. It may be closed some time later.
     fn reclaim(&self);
@@ -115,7 +115,7 @@
         MemoryLedger::new(usize::MAX)
     }
 
-    /// Adds an owner of idle connections, which closes one whenever a reservation fails.
+    /// Adds an owner of idle connections, which closes one whenever there is no room for another.
     pub fn add_reclaimer(&self, reclaimer: Weak<dyn Reclaim>) {
         self.0.reclaimers.borrow_mut().push(reclaimer);
     }
@@ -192,13 +192,15 @@
     }
 
     fn refuse(&self, purpose: Purpose) {
-        if purpose == Purpose::Backlog {
-            return;
+        if purpose != Purpose::Backlog {
+            self.0.refused.set(self.0.refused.get() + 1);
         }
-        self.0.refused.set(self.0.refused.get() + 1);
-        let reclaimers = self.0.reclaimers.borrow();
-        for reclaimer in reclaimers.iter().filter_map(Weak::upgrade) {
-            reclaimer.reclaim();
+        // Idle connections hold none of the memory of data.
+        if purpose == Purpose::Fixed {
+            let reclaimers = self.0.reclaimers.borrow();
+            for reclaimer in reclaimers.iter().filter_map(Weak::upgrade) {
+                reclaimer.reclaim();
+            }
         }
     }
 }
--- a/crates/router/src/memory/tests.rs
+++ b/crates/router/src/memory/tests.rs
@@ -105,6 +105,9 @@
     ledger.add_reclaimer(weak);
     assert!(ledger.reserve(Purpose::Fixed, CAPACITY).is_none());
     assert_eq!(owner.0.get(), 1);
+    // Idle connections hold none of the memory of data.
+    assert!(ledger.reserve(Purpose::ClientData, CAPACITY).is_none());
+    assert_eq!(owner.0.get(), 1);
 }
 
 #[test]
