--- a/crates/router/src/exchange/body/tests.rs
+++ b/crates/router/src/exchange/body/tests.rs
@@ -47,7 +47,7 @@
         sender.send(chunk.clone()).await.unwrap();
     }
     assert!(timeout(SHORT, sender.send(chunk.clone())).await.is_err());
-    assert_eq!(memory.reserved(), MAX_QUEUED_BYTES + MAX_QUEUED_BYTES / 2);
+    assert_eq!(memory.reserved(), 2 * MAX_QUEUED_BYTES);
     poll_fn(|cx| body.poll_next(cx)).await.unwrap().unwrap();
     timeout(SHORT, sender.send(chunk)).await.unwrap().unwrap();
     drop(body);
@@ -64,7 +64,7 @@
     for _ in 0..3 {
         sender.send(chunk.clone()).await.unwrap();
         assert!(timeout(SHORT, sender.send(chunk.clone())).await.is_err());
-        assert_eq!(memory.reserved(), 1_500);
+        assert_eq!(memory.reserved(), 2_000);
         poll_fn(|cx| body.poll_next(cx)).await.unwrap().unwrap();
     }
     assert_eq!(memory.reserved(), 0);
--- a/crates/router/src/frontend/byte_budget/tests.rs
+++ b/crates/router/src/frontend/byte_budget/tests.rs
@@ -33,10 +33,10 @@
     let memory = MemoryLedger::new(8_000);
     let budget = ByteBudget::new(100_000, &memory);
     let others = memory.reserve(Purpose::Fixed, 7_000).unwrap();
-    let mut reservation = budget.reserve(666).unwrap();
-    assert!(!reservation.try_grow_to(668));
+    let mut reservation = budget.reserve(500).unwrap();
+    assert!(!reservation.try_grow_to(501));
     drop(others);
-    assert!(reservation.try_grow_to(2_000));
+    assert!(reservation.try_grow_to(1_500));
     reservation.shrink_to(10);
-    assert_eq!((budget.reserved(), memory.reserved()), (10, 15));
+    assert_eq!((budget.reserved(), memory.reserved()), (10, 20));
 }
--- a/crates/router/src/memory.rs
+++ b/crates/router/src/memory.rs
@@ -14,7 +14,7 @@
 const FIXED_EIGHTHS: usize = 5;
 /// Data counts with its size divided by this in addition: its buffers have many sizes and come and
 /// go, and the allocator cannot use all of the space between them.
-const ALLOCATOR_DIVISOR: usize = 2;
+const ALLOCATOR_DIVISOR: usize = 1;
 /// One client's data may take the memory that is free for data divided by this. While large
 /// requests hold most of the memory, there is room for small ones.
 const CLIENT_DATA_DIVISOR: usize = 4;
--- a/crates/router/src/memory/tests.rs
+++ b/crates/router/src/memory/tests.rs
@@ -9,12 +9,12 @@
     let ledger = MemoryLedger::new(CAPACITY);
     assert!(ledger.reserve(Purpose::Fixed, 7_001).is_none());
     let connections = ledger.reserve(Purpose::Fixed, 7_000).unwrap();
-    assert!(ledger.reserve(Purpose::BulkData, 668).is_none());
-    assert!(ledger.reserve(Purpose::BulkData, 666).is_some());
+    assert!(ledger.reserve(Purpose::BulkData, 501).is_none());
+    assert!(ledger.reserve(Purpose::BulkData, 500).is_some());
     drop(connections);
-    assert_eq!(ledger.data_limit(), 2_000);
-    assert!(ledger.reserve(Purpose::BulkData, 2_001).is_none());
-    let _data = ledger.reserve(Purpose::BulkData, 2_000).unwrap();
+    assert_eq!(ledger.data_limit(), 1_500);
+    assert!(ledger.reserve(Purpose::BulkData, 1_501).is_none());
+    let _data = ledger.reserve(Purpose::BulkData, 1_500).unwrap();
     assert!(ledger.reserve(Purpose::Fixed, 5_001).is_none());
     assert!(ledger.reserve(Purpose::Fixed, 5_000).is_some());
 }
@@ -22,9 +22,9 @@
 #[test]
 fn data_may_take_what_connections_cannot_need() {
     let ledger = MemoryLedger::with_fixed_need(CAPACITY, 1_000);
-    assert_eq!(ledger.data_limit(), 4_666);
-    assert!(ledger.reserve(Purpose::BulkData, 4_668).is_none());
-    assert!(ledger.reserve(Purpose::BulkData, 4_666).is_some());
+    assert_eq!(ledger.data_limit(), 3_500);
+    assert!(ledger.reserve(Purpose::BulkData, 3_501).is_none());
+    assert!(ledger.reserve(Purpose::BulkData, 3_500).is_some());
 }
 
 #[test]
@@ -36,7 +36,7 @@
         assert_eq!(ledger.reserved(), bytes + bytes / ALLOCATOR_DIVISOR);
     }
     reservation.shrink_to(2);
-    assert_eq!((reservation.bytes(), ledger.reserved()), (2, 3));
+    assert_eq!((reservation.bytes(), ledger.reserved()), (2, 4));
     drop(reservation);
     assert_eq!(ledger.reserved(), 0);
 }
